--- /dev/null
+++ b/pumicepath/interface.py
@@ -0,0 +1,123 @@
+"""The types that stand between a host (wire, later sockets) and the decisions in `logic`.
+
+Times are whole microseconds of one monotonic clock; ids are whatever the host uses.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple, Protocol
+
+
+class Effect(IntEnum):
+    """What a repeat of a submission would do."""
+
+    IDEMPOTENT = 0
+    DEDUPLICATED = 1
+    UNREPEATABLE = 2
+
+
+class Group(IntEnum):
+    """The servers that drop each other's repeats of a deduplicated submission."""
+
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class Outcome(IntEnum):
+    """How a hop or a probe ended."""
+
+    OK = 0
+    ERROR = 1
+    FULL = 2
+    TIMEOUT = 3
+    CONNECT_FAILED = 4
+    RESET = 5
+    CANCELLED = 6
+    MOOT = 7
+
+
+class Phase(IntEnum):
+    """What the list says of a server."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class Listing(IntEnum):
+    """What kind of list reached the sidecar."""
+
+    CHANGES = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class Entry(NamedTuple):
+    """One line of the server list; `came_up` is 0 where the start lies long past."""
+
+    server: int
+    zone: int
+    cell: int
+    phase: Phase
+    scale: float
+    came_up: int
+
+
+@dataclass(frozen=True)
+class Tariff:
+    agreed: int
+    patience: int
+    gain: float
+    late_gain: float
+    effect: Effect
+    group: Group
+    window: int
+
+
+@dataclass(frozen=True)
+class Settings:
+    me: int
+    fleet: int
+    zone: int
+    tariffs: tuple[Tariff, ...]
+    quotas: tuple[float, ...]
+    surplus_gain: float
+    must_ask: bool
+    ask_every: int
+    may_probe: bool
+    second_copies: bool
+    most_hops: int
+    most_retry_in: int
+    cold_from: float
+    cold_for: int
+    fall_multiple: float
+    fall_window: int
+
+
+class Wakeable(Protocol):
+    def woke(self, now: int) -> None: ...
+
+
+class Outlet(Protocol):
+    """Where decisions go; a host writes its messages straight from these calls."""
+
+    def send(self, submission: int, server: int, timeout: int) -> None:
+        """Start the next hop; a time-out of 0 lasts as long as the client waits."""
+
+    def defer(self, submission: int, retry_in: int) -> None: ...
+
+    def forfeit(self, submission: int) -> None: ...
+
+    def cancel(self, submission: int, hop: int) -> None: ...
+
+    def probe(self, server: int) -> None: ...
+
+    def follow(self) -> None: ...
+
+    def wake(self, at: int, whom: Wakeable) -> None: ...
+
+    def log(self, text: str) -> None: ...
--- /dev/null
+++ b/pumicepath/logic.py
@@ -0,0 +1,515 @@
+"""All decisions of one sidecar.
+
+A host makes one `Balancer` for each sidecar it runs, tells it of lists and probes, and calls `take` for
+each submission.  The `Submission` that comes back is the handle: outcomes of its hops, its wakes and its
+client's leaving are calls on it.  Answers go to the `Outlet`.  All types are in `interface`.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Sequence
+
+from .interface import Effect, Entry, Group, Listing, Outcome, Outlet, Phase, Settings
+
+CLOSED, OPEN, HALF_OPEN = range(3)
+STATES = ("closed", "open", "half-open")
+MASK = (1 << 64) - 1
+
+FAILURE_THRESHOLD = 4
+COOLDOWN = 2_000_000
+LONGEST_COOLDOWN = 8_000_000
+HALF_OPEN_TRIALS = 1
+PASS_OVER_MARGIN = 1.5
+MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
+SPREAD = 20                 # samples that the usual time of a tariff remembers
+REVIEW = 200_000            # how often strain is reviewed
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
+
+
+class Chance:
+    """A linear congruential generator; only its high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed & MASK
+
+    def bits(self) -> int:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & MASK
+        return self.state >> 33
+
+    def share(self) -> float:
+        return self.bits() / (1 << 31)
+
+
+def mix(value: int) -> int:
+    """Scatter 64 bits, so that near keys and ids get unrelated ranks."""
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & MASK
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & MASK
+    return value ^ (value >> 31)
+
+
+class Hop:
+    __slots__ = ("at", "server", "generation", "trial", "out", "may_have_run", "judged")
+
+    def __init__(self, at: int, server: int, generation: int, trial: bool) -> None:
+        self.at = at
+        self.server = server
+        self.generation = generation
+        self.trial = trial
+        self.out = True
+        self.may_have_run = True
+        self.judged = False
+
+
+class Submission:
+    """One submission from its taking to its final answer, and its hops until the last has ended."""
+
+    __slots__ = ("balancer", "name", "tariff", "tenant", "key", "until", "taken", "hops", "out", "done")
+
+    def __init__(self, balancer: Balancer, name: int, tariff: int, tenant: int, key: int, until: int,
+                 taken: int) -> None:
+        self.balancer = balancer
+        self.name = name
+        self.tariff = tariff
+        self.tenant = tenant
+        self.key = key
+        self.until = until
+        self.taken = taken
+        self.hops: list[Hop] = []
+        self.out = 0
+        self.done = False
+
+    def over(self) -> bool:
+        return self.done and self.out == 0
+
+    def started(self, now: int, number: int) -> None:
+        """The answer of a hop has begun: it belongs to the client now, and the server has shown health."""
+        hop = self.hops[number]
+        self.balancer.answered(now, self.tariff, hop, now - hop.at)
+        hop.judged = True
+        self.until = 1 << 62
+
+    def ended(self, now: int, number: int, outcome: Outcome, spent: int, finished: bool) -> None:
+        hop = self.hops[number]
+        if not hop.out:
+            return
+        hop.out = False
+        self.out -= 1
+        hop.may_have_run = outcome not in NEVER_RAN
+        self.balancer.hop_ended(now, self.tariff, hop, outcome, spent)
+        if self.done:
+            return
+        if finished:
+            self.done = True
+            for other, rest in enumerate(self.hops):
+                if rest.out:
+                    self.balancer.outlet.cancel(self.name, other)
+        elif self.out == 0:
+            self.go_on(now)
+
+    def left(self, now: int) -> None:
+        """The client is gone; hops still out bring their outcomes, but nothing is owed."""
+        self.done = True
+
+    def woke(self, now: int) -> None:
+        """A hop has been out for long: hold that against its server, and send a second copy where allowed."""
+        balancer = self.balancer
+        agreed = balancer.settings.tariffs[self.tariff].agreed
+        for hop in self.hops:
+            if hop.out and not hop.judged and now - hop.at >= agreed:
+                balancer.overdue(now, self.tariff, hop)
+        if not self.done and self.out == 1 and balancer.may_copy(now, self):
+            server = balancer.pick(now, self)
+            if server >= 0:
+                self.send(now, server)
+
+    def bound(self, now: int) -> tuple[Group, int] | None:
+        """Where a further hop may go: any server, or only the group of the first hop that may have run.
+
+        Raises PermissionError where no further hop is allowed at all.
+        """
+        tariff = self.balancer.settings.tariffs[self.tariff]
+        for hop in self.hops:
+            if hop.may_have_run:
+                if tariff.effect == Effect.IDEMPOTENT:
+                    return None
+                if tariff.effect == Effect.UNREPEATABLE or now > hop.at + tariff.window:
+                    raise PermissionError
+                return (tariff.group, hop.server)
+        return None
+
+    def harmless(self) -> bool:
+        """Whether a deferral's promise, that trying again does no harm, would be true."""
+        tariff = self.balancer.settings.tariffs[self.tariff]
+        if tariff.effect == Effect.IDEMPOTENT or not any(hop.may_have_run for hop in self.hops):
+            return True
+        return tariff.effect == Effect.DEDUPLICATED and tariff.group == Group.ALL
+
+    def go_on(self, now: int) -> None:
+        """Send the next hop, or give the final answer at once."""
+        server = -1
+        if now < self.until and self.balancer.may_retry(self):
+            server = self.balancer.pick(now, self)
+        if server >= 0:
+            self.send(now, server)
+        else:
+            self.give_up(now)
+
+    def give_up(self, now: int) -> None:
+        self.done = True
+        if self.harmless():
+            self.balancer.outlet.defer(self.name, self.balancer.retry_in(self))
+        else:
+            self.balancer.outlet.forfeit(self.name)
+
+    def send(self, now: int, server: int) -> None:
+        balancer = self.balancer
+        self.hops.append(balancer.admit(now, server))
+        self.out += 1
+        balancer.outlet.send(self.name, balancer.ids[server], 0)
+        agreed = balancer.settings.tariffs[self.tariff].agreed
+        if now + agreed < self.until:
+            balancer.outlet.wake(now + agreed, self)
+        copy_at = now + balancer.copy_after(self.tariff)
+        if balancer.copies(self.tariff) and copy_at < min(self.until, now + agreed):
+            balancer.outlet.wake(copy_at, self)
+
+
+class Balancer:
+    def __init__(self, settings: Settings, seed: int, outlet: Outlet) -> None:
+        self.settings = settings
+        self.outlet = outlet
+        self.chance = Chance(seed)
+        # The list, under a small dense index that a server keeps for good.
+        self.index: dict[int, int] = {}
+        self.ids: list[int] = []
+        self.zone: list[int] = []
+        self.cell: list[int] = []
+        self.phase: list[Phase] = []
+        self.scale: list[float] = []
+        self.came_up: list[int] = []
+        self.salt: list[int] = []
+        self.ready: list[int] = []
+        # The breakers.
+        self.state: list[int] = []
+        self.fails: list[int] = []
+        self.since: list[int] = []
+        self.cooldown: list[int] = []
+        self.generation: list[int] = []
+        self.trials: list[int] = []
+        # What this sidecar has seen.
+        self.in_flight: list[int] = []
+        self.lag: list[float] = []
+        self.lag_at: list[int] = []
+        self.sent_cold: list[deque[int]] = []
+        self.all_in_flight = 0
+        self.usual = [tariff.agreed / 4 for tariff in settings.tariffs]
+        self.samples = [0] * len(settings.tariffs)
+        self.retries_left = 10.0
+        self.copies_left = 5.0
+        self.strain = 0.0
+        self.reviewed = 0
+        # Asking for the list.
+        self.following = not settings.must_ask
+        self.asking = False
+        self.ask_after = 0
+
+    # -- the list
+
+    def listed(self, now: int, kind: Listing, entries: Sequence[Entry]) -> None:
+        if kind == Listing.FAILED:
+            self.following = self.asking = False
+            # Guards the roster against all sidecars asking again together, and stays well inside the time
+            # after which a list not asked for is deemed known.
+            pause = min(self.settings.ask_every // 2, 1_000_000 + self.chance.bits() % 3_000_000)
+            self.outlet.wake(now + pause, self)
+            return
+        if kind == Listing.CACHED:
+            if self.settings.must_ask:
+                self.woke(now)
+        else:
+            self.asking = False
+            self.following = True
+        if kind != Listing.CHANGES:
+            named = {entry.server for entry in entries}
+            for at, server in enumerate(self.ids):
+                if server not in named:
+                    self.phase[at] = Phase.GONE
+        for entry in entries:
+            self.note(now, entry)
+        self.ready = [at for at, phase in enumerate(self.phase) if phase == Phase.READY]
+
+    def note(self, now: int, entry: Entry) -> None:
+        at = self.index.get(entry.server)
+        if at is None:
+            at = self.index[entry.server] = len(self.ids)
+            self.ids.append(entry.server)
+            self.salt.append(mix(entry.server + 1))
+            for column in (self.zone, self.cell, self.state, self.fails, self.since, self.generation,
+                           self.trials, self.in_flight, self.lag_at, self.came_up):
+                column.append(0)
+            self.phase.append(Phase.GONE)
+            self.scale.append(1.0)
+            self.cooldown.append(COOLDOWN)
+            self.lag.append(1.0)
+            self.sent_cold.append(deque())
+            self.came_up[at] = entry.came_up
+        if entry.came_up > self.came_up[at]:
+            # Guards a fresh process against the verdicts on the one before it.
+            self.came_up[at] = entry.came_up
+            self.state[at] = CLOSED
+            self.fails[at] = self.trials[at] = 0
+            self.generation[at] += 1
+            self.cooldown[at] = COOLDOWN
+            self.lag[at] = 1.0
+        self.zone[at] = entry.zone
+        self.cell[at] = entry.cell
+        self.phase[at] = entry.phase
+        self.scale[at] = entry.scale if entry.scale > 0 else 1.0
+
+    def woke(self, now: int) -> None:
+        """Ask for the list, unless it is being followed."""
+        if not self.following and not self.asking:
+            self.asking = True
+            self.outlet.follow()
+
+    # -- taking
+
+    def take(self, now: int, name: int, tariff: int, tenant: int, key: int, retry: bool, until: int) -> Submission:
+        one = Submission(self, name, tariff, tenant, key, until, now)
+        self.retries_left = min(10.0, self.retries_left + 0.2)
+        self.copies_left = min(5.0, self.copies_left + 0.1)
+        self.review(now)
+        if self.turned_away(one):
+            one.give_up(now)
+        else:
+            one.go_on(now)
+        return one
+
+    def turned_away(self, one: Submission) -> bool:
+        """Under strain submissions are turned away by chance, those that gain little for their time first."""
+        if self.strain <= 0.0:
+            return False
+        values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
+        mean = sum(values) / len(values)
+        return self.chance.share() < self.strain * min(2.0, mean / values[one.tariff])
+
+    def review(self, now: int) -> None:
+        """Strain rises while even the middle server would answer late, and falls again when it would not."""
+        if now - self.reviewed < REVIEW or not self.ready:
+            return
+        self.reviewed = now
+        middle = sorted(self.lag_now(now, at) for at in self.ready)[len(self.ready) // 2]
+        load = max(usual * middle / tariff.agreed for usual, tariff in zip(self.usual, self.settings.tariffs))
+        before = self.strain
+        self.strain = min(0.7, max(0.0, self.strain + min(0.05, 0.1 * (load - 0.7))))
+        if (before > 0.0) != (self.strain > 0.0):
+            self.outlet.log(f"turning away {'on' if self.strain else 'off'}: expected {load:.2f} of agreed time")
+
+    def retry_in(self, one: Submission) -> int:
+        agreed = self.settings.tariffs[one.tariff].agreed
+        return min(self.settings.most_retry_in, int(agreed * (0.5 + self.chance.share())))
+
+    def may_retry(self, one: Submission) -> bool:
+        if not one.hops:
+            return True
+        if len(one.hops) >= self.settings.most_hops or self.retries_left < 1.0:
+            return False
+        self.retries_left -= 1.0
+        return True
+
+    def copies(self, tariff: int) -> bool:
+        return self.settings.second_copies and self.settings.tariffs[tariff].effect == Effect.IDEMPOTENT
+
+    def copy_after(self, tariff: int) -> int:
+        return min(self.settings.tariffs[tariff].agreed // 2, int(3 * self.usual[tariff]))
+
+    def may_copy(self, now: int, one: Submission) -> bool:
+        """A second copy goes out for a hop far over its usual time, on a small budget."""
+        if (not self.copies(one.tariff) or len(one.hops) >= self.settings.most_hops or self.copies_left < 1.0
+                or now >= one.until or now - one.hops[-1].at < self.copy_after(one.tariff)):
+            return False
+        self.copies_left -= 1.0
+        return True
+
+    # -- choosing a server
+
+    def pick(self, now: int, one: Submission) -> int:
+        """The first in the key's order that admits and is not crowded; else the least crowded; else -1."""
+        try:
+            bound = one.bound(now)
+        except PermissionError:
+            return -1
+        key = mix(one.key) if one.key else self.chance.bits() << 20
+        tried = [hop.server for hop in one.hops]
+        order = []
+        for at in self.ready:
+            if at in tried or bound is not None and not self.same_group(bound, at):
+                continue
+            weight = self.scale[at] * self.warmth(now, at)
+            draw = (mix(key ^ self.salt[at]) + 1) / (MASK + 2)
+            order.append((-math.log(draw) / weight, at))
+        order.sort()
+        tariff = self.settings.tariffs[one.tariff]
+        total = sum(self.scale[at] for at in self.ready) or 1.0
+        fallback, least = -1, math.inf
+        for _, at in order:
+            if not self.admits(now, at, tariff.effect == Effect.UNREPEATABLE) or not self.cold_room(now, at):
+                continue
+            fair = self.all_in_flight * self.scale[at] / total
+            lag = self.lag_now(now, at)
+            crowded = self.in_flight[at] >= 2 and self.in_flight[at] > PASS_OVER_MARGIN * fair + 1
+            slow = lag > 2.0 and self.usual[one.tariff] * lag > tariff.agreed / 2
+            if not crowded and not slow:
+                return at
+            cost = (self.in_flight[at] + 1) * lag / self.scale[at]
+            if cost < least:
+                fallback, least = at, cost
+        if fallback < 0 and order:
+            # Guards against all breakers refusing at once: that is no server's sickness, so the key's order holds.
+            for _, at in order:
+                if self.cold_room(now, at):
+                    return at
+        return fallback
+
+    def same_group(self, bound: tuple[Group, int], at: int) -> bool:
+        group, first = bound
+        if group == Group.ZONE:
+            return self.zone[at] == self.zone[first]
+        if group == Group.CELL:
+            return self.cell[at] == self.cell[first]
+        return True
+
+    def warmth(self, now: int, at: int) -> float:
+        """The share of its capacity that a server has at least, by the time since its start."""
+        if not self.came_up[at]:
+            return 1.0
+        start = self.settings.cold_from
+        age = max(0, now - self.came_up[at])
+        return min(1.0, start + (1.0 - start) * age / max(1, self.settings.cold_for))
+
+    def cold_room(self, now: int, at: int) -> bool:
+        """A cold server takes from this sidecar only its part of what may be sent over any window."""
+        warmth = self.warmth(now, at)
+        if warmth >= 1.0:
+            return True
+        settings = self.settings
+        sent = self.sent_cold[at]
+        while sent and sent[0] <= now - settings.fall_window:
+            sent.popleft()
+        usual = sum(self.usual) / len(self.usual)
+        budget = 0.7 * settings.fall_multiple * warmth * settings.fall_window / usual
+        own = budget / settings.fleet
+        if own >= 1.0:
+            return len(sent) < int(own)
+        # Guards a cold server against one submission from each of many sidecars: they take turns by number.
+        turn = (now - self.came_up[at]) // settings.fall_window
+        return turn % settings.fleet == settings.me and len(sent) < max(1, int(budget / 2))
+
+    # -- breakers
+
+    def admits(self, now: int, at: int, unrepeatable: bool) -> bool:
+        if self.state[at] == CLOSED:
+            return True
+        if self.state[at] == OPEN:
+            waited = now - self.since[at] - self.cooldown[at]
+            # Trials are hops that may be sent again, unless none has come for another Cooldown.
+            return waited >= (self.cooldown[at] if unrepeatable else 0)
+        if self.trials[at] < HALF_OPEN_TRIALS:
+            return True
+        if now - self.since[at] >= self.cooldown[at]:
+            self.trip(now, at, "trial without verdict")
+        return False
+
+    def admit(self, now: int, at: int) -> Hop:
+        """Count a send, which makes an open breaker half-open and is then its trial."""
+        if self.state[at] == OPEN and now - self.since[at] >= self.cooldown[at]:
+            self.state[at] = HALF_OPEN
+            self.since[at] = now
+            self.trials[at] = 0
+        trial = self.state[at] == HALF_OPEN
+        self.trials[at] += trial
+        self.in_flight[at] += 1
+        self.all_in_flight += 1
+        if self.warmth(now, at) < 1.0:
+            self.sent_cold[at].append(now)
+        return Hop(now, at, self.generation[at], trial)
+
+    def trip(self, now: int, at: int, cause: str) -> None:
+        if self.state[at] == HALF_OPEN:
+            self.cooldown[at] = min(LONGEST_COOLDOWN, 2 * self.cooldown[at])
+        self.state[at] = OPEN
+        self.since[at] = now
+        self.generation[at] += 1
+        self.trials[at] = self.fails[at] = 0
+        self.outlet.log(f"server {self.ids[at]} open for {self.cooldown[at] / 1e6:.1f} s: {cause}")
+
+    def verdict(self, now: int, hop: Hop, failed: bool, cause: str) -> None:
+        at = hop.server
+        if hop.generation != self.generation[at] or hop.judged:
+            return
+        hop.judged = True
+        if hop.trial and self.state[at] == HALF_OPEN:
+            self.trials[at] -= 1
+            if failed:
+                self.trip(now, at, f"trial failed, {cause}")
+            else:
+                self.state[at] = CLOSED
+                self.fails[at] = 0
+                self.cooldown[at] = COOLDOWN
+                self.outlet.log(f"server {self.ids[at]} closed after a trial")
+        elif failed:
+            self.fails[at] += 1
+            if self.fails[at] >= FAILURE_THRESHOLD and self.state[at] == CLOSED:
+                self.trip(now, at, f"{self.fails[at]} failures, {cause}")
+        else:
+            self.fails[at] = 0
+
+    def hop_ended(self, now: int, tariff: int, hop: Hop, outcome: Outcome, spent: int) -> None:
+        self.in_flight[hop.server] -= 1
+        self.all_in_flight -= 1
+        if outcome == Outcome.OK:
+            self.answered(now, tariff, hop, spent)
+        elif outcome in NEUTRAL or outcome == Outcome.TIMEOUT and spent < self.settings.tariffs[tariff].agreed:
+            if hop.trial and hop.generation == self.generation[hop.server] and not hop.judged:
+                self.trials[hop.server] -= 1
+        else:
+            self.verdict(now, hop, True, outcome.name.lower())
+
+    def answered(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
+        late = spent > self.settings.tariffs[tariff].agreed
+        self.sample(now, tariff, hop.server, spent)
+        self.verdict(now, hop, late and not self.all_late(now, hop.server), "late")
+
+    def overdue(self, now: int, tariff: int, hop: Hop) -> None:
+        self.sample(now, tariff, hop.server, now - hop.at)
+        if not self.all_late(now, hop.server):
+            self.verdict(now, hop, True, "overdue")
+
+    def all_late(self, now: int, but: int) -> bool:
+        """Whether the middle of the other servers is late too: no one server's sickness."""
+        others = sorted(self.lag_now(now, at) for at in self.ready if at != but)
+        if not others:
+            return False
+        middle = others[len(others) // 2]
+        return any(usual * middle > 0.7 * tariff.agreed
+                   for usual, tariff in zip(self.usual, self.settings.tariffs))
+
+    # -- what is seen
+
+    def sample(self, now: int, tariff: int, at: int, spent: int) -> None:
+        ratio = spent / self.usual[tariff]
+        self.lag[at] = self.lag_now(now, at) * 0.7 + ratio * 0.3
+        self.lag_at[at] = now
+        self.samples[tariff] += 1
+        weight = 1 / min(SPREAD, self.samples[tariff] + 1)
+        self.usual[tariff] += weight * (spent - self.usual[tariff])
+
+    def lag_now(self, now: int, at: int) -> float:
+        """How much longer than usual this server takes; fades to 1 when nothing is heard of it."""
+        return 1.0 + (self.lag[at] - 1.0) * math.exp(-(now - self.lag_at[at]) / MEMORY)
+
+    def probed(self, now: int, server: int, outcome: Outcome, spent: int) -> None:
+        """Nothing is probed yet, so that no result can come."""
--- /dev/null
+++ b/pumicepath/wirehost/__main__.py
@@ -0,0 +1,13 @@
+"""Run the wire on standard input and output until the input ends."""
+
+import sys
+
+from .frames import Malformed
+from .host import serve
+
+if __name__ == "__main__":
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except Malformed as trouble:
+        print(f"wirehost: {trouble}", file=sys.stderr)
+        sys.exit(2)
--- /dev/null
+++ b/pumicepath/wirehost/host.py
@@ -0,0 +1,159 @@
+"""One balancer for each instance of the wire; every event is a call, every answer a message."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any, BinaryIO
+
+from ..interface import Entry, Listing, Outcome, Phase, Wakeable
+from ..logic import Balancer, Submission
+from . import frames
+from .frames import Malformed, Reply
+from .settings import decode
+
+PROBE, SHED, PRINT, FOLLOW, TRANSMIT, WAKE, FAIL, REVOKE, DIE = 1, 2, 3, 4, 6, 7, 8, 9, 12
+OUTCOMES = {
+    0: Outcome.OK, 5: Outcome.ERROR, 11: Outcome.FULL, 110: Outcome.TIMEOUT, 111: Outcome.CONNECT_FAILED,
+    104: Outcome.RESET, 125: Outcome.CANCELLED, 114: Outcome.MOOT,
+}
+
+
+def micros(seconds: float) -> int:
+    return math.floor(seconds * 1_000_000 + 0.001)
+
+
+class Instance:
+    """An outlet of one balancer: the answers of the module as messages of one instance."""
+
+    def __init__(self, number: int, info: dict[str, Any], seed: int, host: Host) -> None:
+        self.number = number
+        self.host = host
+        self.handles: dict[int, Submission] = {}
+        self.alarms: dict[int, Wakeable] = {}
+        self.next_alarm = 0
+        self.balancer = Balancer(decode(info), seed, self)
+
+    def send(self, submission: int, server: int, timeout: int) -> None:
+        self.host.reply.add(TRANSMIT, "HIdI", self.number, submission, timeout / 1e6, server)
+
+    def defer(self, submission: int, retry_in: int) -> None:
+        self.host.reply.add(SHED, "HId", self.number, submission, retry_in / 1e6)
+
+    def forfeit(self, submission: int) -> None:
+        self.host.reply.add(FAIL, "HI", self.number, submission)
+
+    def cancel(self, submission: int, hop: int) -> None:
+        self.host.reply.add(REVOKE, "HIB", self.number, submission, hop)
+
+    def probe(self, server: int) -> None:
+        self.host.reply.add(PROBE, "HI", self.number, server)
+
+    def follow(self) -> None:
+        self.host.reply.add(FOLLOW, "HB", self.number, 1)
+
+    def wake(self, at: int, whom: Wakeable) -> None:
+        self.next_alarm += 1
+        self.alarms[self.next_alarm] = whom
+        self.host.reply.add(WAKE, "HdQ", self.number, at / 1e6, self.next_alarm)
+
+    def log(self, text: str) -> None:
+        self.host.reply.add_text(PRINT, self.number, text)
+
+
+class Host:
+    def __init__(self) -> None:
+        self.instances: dict[int, Instance] = {}
+        self.sheets: dict[int, list[Entry]] = {}
+        self.reply = Reply()
+
+    def batch(self, batch: frames.Batch) -> Reply:
+        self.reply = Reply()
+        now = micros(batch.now)
+        for code, fields in batch.records:
+            if code == frames.SHEET:
+                self.sheet(batch.tail, *fields)
+                continue
+            number = fields[0]
+            try:
+                self.event(now, code, batch.tail, fields)
+            except Malformed:
+                raise
+            except Exception as trouble:  # a fault of the module ends the day with its text, not the process
+                self.reply.add_text(DIE, number, f"{type(trouble).__name__}: {trouble}")
+        return self.reply
+
+    def sheet(self, tail: memoryview, number: int, offset: int, count: int) -> None:
+        data = frames.part(tail, offset, count * frames.ENTRY)
+        entries = []
+        for server, zone, _, cell, phase, scale, up in frames.ENTRY_FIELDS.iter_unpack(data):
+            if phase > Phase.DRAINING:
+                raise Malformed(f"unknown phase {phase} of a server")
+            entries.append(Entry(server, zone, cell, Phase(phase), scale, micros(up)))
+        self.sheets[number] = entries
+
+    def event(self, now: int, code: int, tail: memoryview, fields: tuple) -> None:
+        number = fields[0]
+        if code == frames.CREATE:
+            _, seed, offset, size = fields
+            try:
+                info = json.loads(bytes(frames.part(tail, offset, size)))
+            except ValueError as trouble:
+                raise Malformed(f"settings of instance {number}: {trouble}") from trouble
+            self.instances[number] = Instance(number, info, seed, self)
+            return
+        if code == frames.EXIT:
+            self.instances.pop(number, None)
+            return
+        instance = self.instances.get(number)
+        if instance is None:
+            return
+        if code == frames.INGRESS:
+            _, name, tenant, key, marks, _, until, tariff = fields
+            instance.handles[name] = instance.balancer.take(
+                now, name, tariff, tenant, key, bool(marks & 2), micros(until))
+        elif code == frames.REPORT:
+            _, name, complete, status, spent, _, hop = fields
+            if status not in OUTCOMES:
+                raise Malformed(f"unknown outcome {status}")
+            handle = instance.handles.get(name)
+            if handle is not None:
+                handle.ended(now, hop, OUTCOMES[status], micros(spent), bool(complete))
+                self.forget(instance, name, handle)
+        elif code == frames.TICK:
+            whom = instance.alarms.pop(fields[1], None)
+            if whom is not None:
+                whom.woke(now)
+                if isinstance(whom, Submission):
+                    self.forget(instance, whom.name, whom)
+        elif code == frames.CHANGED:
+            _, _, form, sheet = fields
+            if form > Listing.FAILED or form != Listing.FAILED and sheet not in self.sheets:
+                raise Malformed(f"list of form {form} names sheet {sheet}")
+            entries = [] if form == Listing.FAILED else self.sheets[sheet]
+            instance.balancer.listed(now, Listing(form), entries)
+        elif code == frames.VANISHED:
+            handle = instance.handles.get(fields[1])
+            if handle is not None:
+                handle.left(now)
+                self.forget(instance, fields[1], handle)
+        elif code == frames.STARTED:
+            handle = instance.handles.get(fields[1])
+            if handle is not None:
+                handle.started(now, fields[2])
+        elif code == frames.PROBED:
+            _, server, status, spent = fields
+            if status not in OUTCOMES:
+                raise Malformed(f"unknown outcome {status}")
+            instance.balancer.probed(now, server, OUTCOMES[status], micros(spent))
+
+    @staticmethod
+    def forget(instance: Instance, name: int, handle: Submission) -> None:
+        if handle.over():
+            instance.handles.pop(name, None)
+
+
+def serve(stdin: BinaryIO, stdout: BinaryIO) -> None:
+    host = Host()
+    while (batch := frames.read(stdin)) is not None:
+        host.batch(batch).write(stdout)
