--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -23,7 +23,6 @@
 HALF_OPEN_TRIALS = 1
 PASS_OVER_MARGIN = 1.5
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
-SPREAD = 20                 # samples that the usual time of a tariff remembers
 REVIEW = 200_000            # how often strain is reviewed
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
@@ -294,7 +293,7 @@
             return False
         values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
         mean = sum(values) / len(values)
-        return self.chance.share() < self.strain * min(2.0, mean / values[one.tariff])
+        return self.chance.share() < min(0.8, self.strain * mean / values[one.tariff])
 
     def review(self, now: int) -> None:
         """Strain rises while even the middle server would answer late, and falls again when it would not."""
@@ -302,7 +301,7 @@
             return
         self.reviewed = now
         middle = sorted(self.lag_now(now, at) for at in self.ready)[len(self.ready) // 2]
-        load = max(usual * middle / tariff.agreed for usual, tariff in zip(self.usual, self.settings.tariffs))
+        load = self.usual_share() * middle
         before = self.strain
         self.strain = min(0.7, max(0.0, self.strain + min(0.05, 0.1 * (load - 0.7))))
         if (before > 0.0) != (self.strain > 0.0):
@@ -494,18 +493,23 @@
         if not others:
             return False
         middle = others[len(others) // 2]
-        return any(usual * middle > 0.7 * tariff.agreed
-                   for usual, tariff in zip(self.usual, self.settings.tariffs))
+        return self.usual_share() * middle > 0.7
+
+    def usual_share(self) -> float:
+        """The usual time as a share of the agreed one, over the tariffs."""
+        shares = [usual / tariff.agreed for usual, tariff in zip(self.usual, self.settings.tariffs)]
+        return sum(shares) / len(shares)
 
     # -- what is seen
 
     def sample(self, now: int, tariff: int, at: int, spent: int) -> None:
         ratio = spent / self.usual[tariff]
-        self.lag[at] = self.lag_now(now, at) * 0.7 + ratio * 0.3
+        self.lag[at] = self.lag_now(now, at) * 0.7 + min(ratio, 20.0) * 0.3
         self.lag_at[at] = now
+        # A quantile, moved a little by each answer: guards against a few stuck hops making all look late.
         self.samples[tariff] += 1
-        weight = 1 / min(SPREAD, self.samples[tariff] + 1)
-        self.usual[tariff] += weight * (spent - self.usual[tariff])
+        step = max(0.01, 0.3 / self.samples[tariff])
+        self.usual[tariff] *= 1.0 + step if spent > self.usual[tariff] else 1.0 - step
 
     def lag_now(self, now: int, at: int) -> float:
         """How much longer than usual this server takes; fades to 1 when nothing is heard of it."""
