--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -23,7 +23,6 @@
 HALF_OPEN_TRIALS = 1
 PASS_OVER_MARGIN = 1.5
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
-REVIEW = 200_000            # how often strain is reviewed
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
 
@@ -50,9 +49,9 @@
 
 
 class Hop:
-    __slots__ = ("at", "server", "generation", "trial", "out", "may_have_run", "judged")
+    __slots__ = ("at", "server", "generation", "trial", "out", "may_have_run", "judged", "load")
 
-    def __init__(self, at: int, server: int, generation: int, trial: bool) -> None:
+    def __init__(self, at: int, server: int, generation: int, trial: bool, load: int) -> None:
         self.at = at
         self.server = server
         self.generation = generation
@@ -60,6 +59,7 @@
         self.out = True
         self.may_have_run = True
         self.judged = False
+        self.load = load
 
 
 class Submission:
@@ -208,8 +208,11 @@
         self.samples = [0] * len(settings.tariffs)
         self.retries_left = 10.0
         self.copies_left = 5.0
-        self.strain = 0.0
-        self.reviewed = 0
+        # How much may be out, how much could be after the last cut, when that was, and the share of tardy hops.
+        self.room = math.inf
+        self.calm_room = math.inf
+        self.shrunk = 0
+        self.tardy = 0.0
         # Asking for the list.
         self.following = not settings.must_ask
         self.asking = False
@@ -280,7 +283,6 @@
         one = Submission(self, name, tariff, tenant, key, until, now)
         self.retries_left = min(10.0, self.retries_left + 0.2)
         self.copies_left = min(5.0, self.copies_left + 0.1)
-        self.review(now)
         if self.turned_away(one):
             one.give_up(now)
         else:
@@ -288,24 +290,33 @@
         return one
 
     def turned_away(self, one: Submission) -> bool:
-        """Under strain submissions are turned away by chance, those that gain little for their time first."""
-        if self.strain <= 0.0:
+        """Close to the limit of what may be out, submissions are turned away by chance, cheap ones sooner."""
+        if self.room == math.inf:
             return False
         values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
-        mean = sum(values) / len(values)
-        return self.chance.share() < min(0.8, self.strain * mean / values[one.tariff])
+        value = min(2.0, values[one.tariff] * len(values) / sum(values))
+        load = (self.all_in_flight + 1) / self.room
+        return self.chance.share() < (load - 1.0) / 0.25 + 1.0 / value
 
-    def review(self, now: int) -> None:
-        """Strain rises while even the middle server would answer late, and falls again when it would not."""
-        if now - self.reviewed < REVIEW or not self.ready:
-            return
-        self.reviewed = now
-        middle = sorted(self.lag_now(now, at) for at in self.ready)[len(self.ready) // 2]
-        load = self.usual_share() * middle
-        before = self.strain
-        self.strain = min(0.7, max(0.0, self.strain + min(0.05, 0.1 * (load - 0.7))))
-        if (before > 0.0) != (self.strain > 0.0):
-            self.outlet.log(f"turning away {'on' if self.strain else 'off'}: expected {load:.2f} of agreed time")
+    def judge_room(self, now: int, hop: Hop, tardy: bool) -> None:
+        """Let less be out while too many hops take long, more again while they do not.
+
+        Guards against a jam that feeds itself: servers go on with work nobody waits for any more, so that at
+        an unchanged rate of sends nothing is ever answered in time again.
+        """
+        self.tardy += 0.06 * (tardy - self.tardy)
+        if self.tardy > 0.2:
+            if hop.at > self.shrunk:
+                self.shrunk = now
+                self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
+                if self.room == math.inf:
+                    self.outlet.log(f"limit on: {self.tardy:.2f} of hops tardy, {self.calm_room:.0f} may be out")
+                self.room = self.calm_room = max(2.0, self.calm_room)
+        elif not tardy and self.all_in_flight + 1 > self.room / 2:
+            self.room += 0.5 if self.room < self.calm_room else 1.0 / self.room
+        elif self.room < math.inf and self.tardy < 0.02 and self.all_in_flight * 4 < self.room:
+            self.outlet.log(f"limit off: {self.tardy:.2f} of hops tardy, {self.all_in_flight} out")
+            self.room = math.inf
 
     def retry_in(self, one: Submission) -> int:
         agreed = self.settings.tariffs[one.tariff].agreed
@@ -434,7 +445,7 @@
         self.all_in_flight += 1
         if self.warmth(now, at) < 1.0:
             self.sent_cold[at].append(now)
-        return Hop(now, at, self.generation[at], trial)
+        return Hop(now, at, self.generation[at], trial, self.all_in_flight)
 
     def trip(self, now: int, at: int, cause: str) -> None:
         if self.state[at] == HALF_OPEN:
@@ -471,21 +482,31 @@
         self.all_in_flight -= 1
         if outcome == Outcome.OK:
             self.answered(now, tariff, hop, spent)
-        elif outcome in NEUTRAL or outcome == Outcome.TIMEOUT and spent < self.settings.tariffs[tariff].agreed:
+        elif outcome == Outcome.TIMEOUT and spent >= self.settings.tariffs[tariff].agreed:
+            self.overdue(now, tariff, hop)
+        elif outcome in NEUTRAL or outcome == Outcome.TIMEOUT:
             if hop.trial and hop.generation == self.generation[hop.server] and not hop.judged:
                 self.trials[hop.server] -= 1
         else:
             self.verdict(now, hop, True, outcome.name.lower())
 
     def answered(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
-        late = spent > self.settings.tariffs[tariff].agreed
+        agreed = self.settings.tariffs[tariff].agreed
+        if not hop.judged:
+            self.judge_room(now, hop, spent > 0.7 * agreed)
         self.sample(now, tariff, hop.server, spent)
-        self.verdict(now, hop, late and not self.all_late(now, hop.server), "late")
+        self.verdict(now, hop, spent > agreed and not self.all_late(now, hop.server), "late")
 
     def overdue(self, now: int, tariff: int, hop: Hop) -> None:
+        if hop.judged:
+            return
+        self.judge_room(now, hop, True)
         self.sample(now, tariff, hop.server, now - hop.at)
         if not self.all_late(now, hop.server):
             self.verdict(now, hop, True, "overdue")
+        elif hop.trial and hop.generation == self.generation[hop.server]:
+            self.trials[hop.server] -= 1
+        hop.judged = True
 
     def all_late(self, now: int, but: int) -> bool:
         """Whether the middle of the other servers is late too: no one server's sickness."""
