--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -21,7 +21,7 @@
 COOLDOWN = 2_000_000
 LONGEST_COOLDOWN = 8_000_000
 HALF_OPEN_TRIALS = 1
-PASS_OVER_MARGIN = 3.0
+PASS_OVER_MARGIN = 1.0
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
@@ -305,7 +305,7 @@
         an unchanged rate of sends nothing is ever answered in time again.
         """
         self.tardy += 0.06 * (tardy - self.tardy)
-        if self.tardy > 0.35:
+        if self.tardy > 0.5:
             if hop.at > self.shrunk:
                 self.shrunk = now
                 self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
