--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -22,6 +22,7 @@
 LONGEST_COOLDOWN = 8_000_000
 HALF_OPEN_TRIALS = 1
 PASS_OVER_MARGIN = 1.0
+FOREIGN = 0.05              # what a server of another zone counts for in the order
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
@@ -305,7 +306,7 @@
         an unchanged rate of sends nothing is ever answered in time again.
         """
         self.tardy += 0.06 * (tardy - self.tardy)
-        if self.tardy > 0.5:
+        if self.tardy > 0.4:
             if hop.at > self.shrunk:
                 self.shrunk = now
                 self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
@@ -359,6 +360,8 @@
             if at in tried or bound is not None and not self.same_group(bound, at):
                 continue
             weight = self.scale[at] * self.warmth(now, at)
+            if self.zone[at] != self.settings.zone:
+                weight *= FOREIGN
             draw = (mix(key ^ self.salt[at]) + 1) / (MASK + 2)
             order.append((-math.log(draw) / weight, at))
         order.sort()
