--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -86,6 +86,7 @@
     tariffs: tuple[Tariff, ...]
     quotas: tuple[float, ...]
     surplus_gain: float
+    crossing_price: float
     must_ask: bool
     ask_every: int
     may_probe: bool
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -22,7 +22,6 @@
 LONGEST_COOLDOWN = 8_000_000
 HALF_OPEN_TRIALS = 1
 PASS_OVER_MARGIN = 1.0
-FOREIGN = 0.05              # what a server of another zone counts for in the order
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
@@ -356,12 +355,13 @@
         key = mix(one.key) if one.key else self.chance.bits() << 20
         tried = [hop.server for hop in one.hops]
         order = []
+        foreign = self.foreign()
         for at in self.ready:
             if at in tried or bound is not None and not self.same_group(bound, at):
                 continue
             weight = self.scale[at] * self.warmth(now, at)
             if self.zone[at] != self.settings.zone:
-                weight *= FOREIGN
+                weight *= foreign
             draw = (mix(key ^ self.salt[at]) + 1) / (MASK + 2)
             order.append((-math.log(draw) / weight, at))
         order.sort()
@@ -387,6 +387,11 @@
                     return at
         return fallback
 
+    def foreign(self) -> float:
+        """What a server of another zone counts for: little, until lateness costs more than crossing does."""
+        price = self.settings.crossing_price
+        return 1.0 if price <= 0.0 else min(1.0, max(0.05, 0.5 * self.tardy / price))
+
     def same_group(self, bound: tuple[Group, int], at: int) -> bool:
         group, first = bound
         if group == Group.ZONE:
--- a/pumicepath/wirehost/settings.py
+++ b/pumicepath/wirehost/settings.py
@@ -21,6 +21,7 @@
         tariffs=tuple(tariff(entry) for entry in info.get("tariffs", [])),
         quotas=tuple(entry.get("quotaPerS", 0.0) for entry in info.get("tenants", [])),
         surplus_gain=info.get("surplusGain", 1.0),
+        crossing_price=info.get("prices", {}).get("crossZone", 0.0),
         must_ask=info.get("membershipMode") == "on_request",
         ask_every=down(rules.get("askEveryS", DAY)),
         may_probe=limits.get("probing", False),
