--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -336,7 +336,7 @@
         return self.settings.second_copies and self.settings.tariffs[tariff].effect == Effect.IDEMPOTENT
 
     def copy_after(self, tariff: int) -> int:
-        return min(self.settings.tariffs[tariff].agreed // 2, int(3 * self.usual[tariff]))
+        return self.settings.tariffs[tariff].agreed // 2
 
     def may_copy(self, now: int, one: Submission) -> bool:
         """A second copy goes out for a hop far over its usual time, on a small budget."""
@@ -375,7 +375,7 @@
                 continue
             fair = self.all_in_flight * self.scale[at] / total
             lag = self.lag_now(now, at)
-            crowded = self.in_flight[at] >= 2 and self.in_flight[at] > PASS_OVER_MARGIN * fair + 1
+            crowded = self.in_flight[at] >= 2 and self.in_flight[at] > 1.25 * fair
             slow = lag > 2.0 and self.usual[one.tariff] * lag > tariff.agreed / 2
             if not crowded and not slow:
                 return at
