--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -17,11 +17,12 @@
 STATES = ("closed", "open", "half-open")
 MASK = (1 << 64) - 1
 
-FAILURE_THRESHOLD = 4
+FAILURE_THRESHOLD = 3
 COOLDOWN = 2_000_000
 LONGEST_COOLDOWN = 8_000_000
 HALF_OPEN_TRIALS = 1
-PASS_OVER_MARGIN = 1.0
+PASS_OVER_MARGIN = 1.25
+STALL = 1.0
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
@@ -49,10 +50,11 @@
 
 
 class Hop:
-    __slots__ = ("at", "server", "generation", "trial", "out", "may_have_run", "judged", "load")
+    __slots__ = ("at", "due", "server", "generation", "trial", "out", "may_have_run", "judged", "load")
 
-    def __init__(self, at: int, server: int, generation: int, trial: bool, load: int) -> None:
+    def __init__(self, at: int, due: int, server: int, generation: int, trial: bool, load: int) -> None:
         self.at = at
+        self.due = due
         self.server = server
         self.generation = generation
         self.trial = trial
@@ -113,16 +115,12 @@
         self.done = True
 
     def woke(self, now: int) -> None:
-        """A hop has been out for long: hold that against its server, and send a second copy where allowed."""
+        """A hop has been out for the agreed time: hold that against its server, but let it go on."""
         balancer = self.balancer
         agreed = balancer.settings.tariffs[self.tariff].agreed
         for hop in self.hops:
             if hop.out and not hop.judged and now - hop.at >= agreed:
                 balancer.overdue(now, self.tariff, hop)
-        if not self.done and self.out == 1 and balancer.may_copy(now, self):
-            server = balancer.pick(now, self)
-            if server >= 0:
-                self.send(now, server)
 
     def bound(self, now: int) -> tuple[Group, int] | None:
         """Where a further hop may go: any server, or only the group of the first hop that may have run.
@@ -165,15 +163,12 @@
 
     def send(self, now: int, server: int) -> None:
         balancer = self.balancer
-        self.hops.append(balancer.admit(now, server))
+        self.hops.append(balancer.admit(now, self.tariff, server))
         self.out += 1
         balancer.outlet.send(self.name, balancer.ids[server], 0)
         agreed = balancer.settings.tariffs[self.tariff].agreed
         if now + agreed < self.until:
             balancer.outlet.wake(now + agreed, self)
-        copy_at = now + balancer.copy_after(self.tariff)
-        if balancer.copies(self.tariff) and copy_at < min(self.until, now + agreed):
-            balancer.outlet.wake(copy_at, self)
 
 
 class Balancer:
@@ -199,7 +194,7 @@
         self.generation: list[int] = []
         self.trials: list[int] = []
         # What this sidecar has seen.
-        self.in_flight: list[int] = []
+        self.out: list[list[Hop]] = []
         self.lag: list[float] = []
         self.lag_at: list[int] = []
         self.sent_cold: list[deque[int]] = []
@@ -207,7 +202,6 @@
         self.usual = [tariff.agreed / 4 for tariff in settings.tariffs]
         self.samples = [0] * len(settings.tariffs)
         self.retries_left = 10.0
-        self.copies_left = 5.0
         # How much may be out, how much could be after the last cut, when that was, and the share of tardy hops.
         self.room = math.inf
         self.calm_room = math.inf
@@ -250,13 +244,14 @@
             self.ids.append(entry.server)
             self.salt.append(mix(entry.server + 1))
             for column in (self.zone, self.cell, self.state, self.fails, self.since, self.generation,
-                           self.trials, self.in_flight, self.lag_at, self.came_up):
+                           self.trials, self.lag_at, self.came_up):
                 column.append(0)
             self.phase.append(Phase.GONE)
             self.scale.append(1.0)
             self.cooldown.append(COOLDOWN)
             self.lag.append(1.0)
             self.sent_cold.append(deque())
+            self.out.append([])
             self.came_up[at] = entry.came_up
         if entry.came_up > self.came_up[at]:
             # Guards a fresh process against the verdicts on the one before it.
@@ -282,7 +277,6 @@
     def take(self, now: int, name: int, tariff: int, tenant: int, key: int, retry: bool, until: int) -> Submission:
         one = Submission(self, name, tariff, tenant, key, until, now)
         self.retries_left = min(10.0, self.retries_left + 0.2)
-        self.copies_left = min(5.0, self.copies_left + 0.1)
         if self.turned_away(one):
             one.give_up(now)
         else:
@@ -332,20 +326,6 @@
         self.retries_left -= 1.0
         return True
 
-    def copies(self, tariff: int) -> bool:
-        return self.settings.second_copies and self.settings.tariffs[tariff].effect == Effect.IDEMPOTENT
-
-    def copy_after(self, tariff: int) -> int:
-        return self.settings.tariffs[tariff].agreed // 2
-
-    def may_copy(self, now: int, one: Submission) -> bool:
-        """A second copy goes out for a hop far over its usual time, on a small budget."""
-        if (not self.copies(one.tariff) or len(one.hops) >= self.settings.most_hops or self.copies_left < 1.0
-                or now >= one.until or now - one.hops[-1].at < self.copy_after(one.tariff)):
-            return False
-        self.copies_left -= 1.0
-        return True
-
     # -- choosing a server
 
     def pick(self, now: int, one: Submission) -> int:
@@ -375,11 +355,12 @@
                 continue
             fair = self.all_in_flight * self.scale[at] / total
             lag = self.lag_now(now, at)
-            crowded = self.in_flight[at] >= 2 and self.in_flight[at] > 1.25 * fair
+            crowded = len(self.out[at]) >= 2 and len(self.out[at]) > PASS_OVER_MARGIN * fair
+            stalled = len(self.out[at]) > 0 and now > self.out[at][0].due
             slow = lag > 2.0 and self.usual[one.tariff] * lag > tariff.agreed / 2
-            if not crowded and not slow:
+            if not crowded and not slow and not stalled:
                 return at
-            cost = (self.in_flight[at] + 1) * lag / self.scale[at]
+            cost = (len(self.out[at]) + 1) * lag / self.scale[at]
             if cost < least:
                 fallback, least = at, cost
         if fallback < 0 and order:
@@ -443,7 +424,7 @@
             self.trip(now, at, "trial without verdict")
         return False
 
-    def admit(self, now: int, at: int) -> Hop:
+    def admit(self, now: int, tariff: int, at: int) -> Hop:
         """Count a send, which makes an open breaker half-open and is then its trial."""
         if self.state[at] == OPEN and now - self.since[at] >= self.cooldown[at]:
             self.state[at] = HALF_OPEN
@@ -451,11 +432,12 @@
             self.trials[at] = 0
         trial = self.state[at] == HALF_OPEN
         self.trials[at] += trial
-        self.in_flight[at] += 1
         self.all_in_flight += 1
         if self.warmth(now, at) < 1.0:
             self.sent_cold[at].append(now)
-        return Hop(now, at, self.generation[at], trial, self.all_in_flight)
+        hop = Hop(now, now + int(STALL * self.usual[tariff]), at, self.generation[at], trial, self.all_in_flight)
+        self.out[at].append(hop)
+        return hop
 
     def trip(self, now: int, at: int, cause: str) -> None:
         if self.state[at] == HALF_OPEN:
@@ -488,7 +470,7 @@
             self.fails[at] = 0
 
     def hop_ended(self, now: int, tariff: int, hop: Hop, outcome: Outcome, spent: int) -> None:
-        self.in_flight[hop.server] -= 1
+        self.out[hop.server].remove(hop)
         self.all_in_flight -= 1
         if outcome == Outcome.OK:
             self.answered(now, tariff, hop, spent)
