--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -301,13 +301,13 @@
         if hop.at <= self.shrunk:
             return
         self.tardy += 0.06 * (tardy - self.tardy)
-        if self.tardy > 0.4:
+        if self.tardy > (0.4 if self.room == math.inf else 0.25):
             self.shrunk = now
-            self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
+            self.calm_room = 0.5 * min(self.room, max(self.all_in_flight + 1, hop.load))
             if self.room == math.inf:
                 self.outlet.log(f"limit on: {self.tardy:.2f} of hops tardy, {self.calm_room:.0f} may be out")
             self.room = self.calm_room = max(2.0, self.calm_room)
-            self.tardy = 0.2
+            self.tardy = 0.1
         elif not tardy and self.all_in_flight + 1 > self.room / 2:
             self.room += 0.5 if self.room < self.calm_room else 1.0 / self.room
         elif self.room < math.inf and self.tardy < 0.02 and self.all_in_flight * 4 < self.room:
