--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -67,17 +67,17 @@
 class Submission:
     """One submission from its taking to its final answer, and its hops until the last has ended."""
 
-    __slots__ = ("balancer", "name", "tariff", "tenant", "key", "until", "taken", "hops", "out", "done")
+    __slots__ = ("balancer", "name", "tariff", "tenant", "key", "until", "retry", "hops", "out", "done")
 
-    def __init__(self, balancer: Balancer, name: int, tariff: int, tenant: int, key: int, until: int,
-                 taken: int) -> None:
+    def __init__(self, balancer: Balancer, name: int, tariff: int, tenant: int, key: int, retry: bool,
+                 until: int) -> None:
         self.balancer = balancer
         self.name = name
         self.tariff = tariff
         self.tenant = tenant
         self.key = key
         self.until = until
-        self.taken = taken
+        self.retry = retry
         self.hops: list[Hop] = []
         self.out = 0
         self.done = False
@@ -275,7 +275,7 @@
     # -- taking
 
     def take(self, now: int, name: int, tariff: int, tenant: int, key: int, retry: bool, until: int) -> Submission:
-        one = Submission(self, name, tariff, tenant, key, until, now)
+        one = Submission(self, name, tariff, tenant, key, retry, until)
         self.retries_left = min(10.0, self.retries_left + 0.2)
         if self.turned_away(one):
             one.give_up(now)
@@ -289,6 +289,9 @@
             return False
         values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
         value = min(2.0, values[one.tariff] * len(values) / sum(values))
+        if one.retry:
+            # Guards the room against submissions that come back when most of their agreed time has passed.
+            value *= max(0.2, self.settings.tariffs[one.tariff].late_gain)
         load = (self.all_in_flight + 1) / self.room
         return self.chance.share() < (load - 1.0) / 0.25 + 1.0 / value
 
@@ -301,13 +304,13 @@
         if hop.at <= self.shrunk:
             return
         self.tardy += 0.06 * (tardy - self.tardy)
-        if self.tardy > (0.4 if self.room == math.inf else 0.25):
+        if self.tardy > 0.4:
             self.shrunk = now
-            self.calm_room = 0.5 * min(self.room, max(self.all_in_flight + 1, hop.load))
+            self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
             if self.room == math.inf:
                 self.outlet.log(f"limit on: {self.tardy:.2f} of hops tardy, {self.calm_room:.0f} may be out")
             self.room = self.calm_room = max(2.0, self.calm_room)
-            self.tardy = 0.1
+            self.tardy = 0.2
         elif not tardy and self.all_in_flight + 1 > self.room / 2:
             self.room += 0.5 if self.room < self.calm_room else 1.0 / self.room
         elif self.room < math.inf and self.tardy < 0.02 and self.all_in_flight * 4 < self.room:
