--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -90,7 +90,6 @@
     must_ask: bool
     ask_every: int
     may_probe: bool
-    second_copies: bool
     most_hops: int
     most_retry_in: int
     cold_from: float
--- a/pumicepath/wirehost/settings.py
+++ b/pumicepath/wirehost/settings.py
@@ -25,7 +25,6 @@
         must_ask=info.get("membershipMode") == "on_request",
         ask_every=down(rules.get("askEveryS", DAY)),
         may_probe=limits.get("probing", False),
-        second_copies=limits.get("secondCopies", False),
         most_hops=limits.get("mostHops", 1),
         most_retry_in=down(limits.get("maxRetryAfterS", 0.0)) if limits.get("retryAfter") else 0,
         cold_from=rules.get("coldFrom", 1.0),
--- /dev/null
+++ b/tests/test_logic.py
@@ -0,0 +1,183 @@
+"""What the module decides, scenario by scenario, against the traces kept beside this file."""
+
+import math
+
+import pytest
+
+from pumicepath.interface import Group, Listing, Outcome, Phase
+from pumicepath.logic import Chance
+
+from .helpers import ONCE, READ, SECOND, Bench, check, entry, marked, settings
+
+
+def favourite(bench: Bench, key: int) -> int:
+    """The server a key goes to while nothing is wrong."""
+    bench.end(bench.take(900_000 + key, key), Outcome.OK)
+    bench.lines.clear()
+    return bench.sent[-1]
+
+
+def test_breaker_opens_tries_and_closes() -> None:
+    bench = Bench(settings(), [entry(server) for server in (10, 11, 12)])
+    favourite(bench, 1)
+    bench.quick(1, 4, 1, Outcome.RESET)
+    bench.at(3).quick(5, 1, 1, Outcome.RESET)
+    bench.at(8).quick(6, 2, 1, Outcome.OK)
+    check("breaker", bench)
+
+
+def test_trial_without_verdict_reopens_and_its_late_outcome_is_ignored() -> None:
+    bench = Bench(settings(), [entry(server) for server in (10, 11, 12)])
+    favourite(bench, 1)
+    bench.quick(1, 3, 1, Outcome.RESET)
+    stuck = bench.at(3).take(4, 1, patience=9)
+    bench.end(bench.at(3.1).take(5, 1), Outcome.OK)
+    bench.end(bench.at(5.2).take(6, 1), Outcome.OK)
+    bench.at(5.3).end(stuck, Outcome.OK)
+    bench.end(bench.at(5.4).take(7, 1), Outcome.OK)
+    check("trial_expiry", bench)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CANCELLED])
+def test_neutral_outcomes_free_the_trial(outcome: Outcome) -> None:
+    bench = Bench(settings(), [entry(server) for server in (10, 11)])
+    first = favourite(bench, 1)
+    bench.quick(1, 3, 1, Outcome.RESET)
+    bench.at(3).quick(4, 2, 1, outcome)
+    assert bench.sent[-4:].count(first) == 2
+
+
+def test_slow_answers_open_the_breaker_unless_all_are_slow() -> None:
+    bench = Bench(settings(), [entry(server) for server in (10, 11, 12, 13)])
+    first = favourite(bench, 1)
+    for name in range(1, 5):
+        one = bench.at(name).take(name, 1)
+        bench.at(name + 0.8).end(one, Outcome.OK)
+    check("late_answers", bench, f"favourite was {first}")
+
+
+def test_fleet_wide_slowness_opens_no_breaker() -> None:
+    bench = Bench(settings(), [entry(server) for server in (10, 11, 12, 13)])
+    for name in range(1, 60):
+        one = bench.at(name).take(name, name)
+        bench.at(name + 0.9).end(one, Outcome.OK)
+    late = [line for line in bench.lines if "open for" in line and float(line.split()[0]) > 20]
+    assert not late
+
+
+def test_partly_failing_server_is_ejected_though_no_failures_come_in_a_row() -> None:
+    bench = Bench(settings(), [entry(server) for server in (10, 11, 12)])
+    favourite(bench, 1)
+    for name in range(1, 25):
+        one = bench.at(name * 0.1).take(name, 1)
+        bench.end(one, Outcome.ERROR if name % 2 and not one.over() else Outcome.OK)
+        if not one.over():
+            bench.end(one, Outcome.OK)
+    check("partial_errors", bench)
+
+
+def test_only_the_keys_of_a_leaving_server_move() -> None:
+    bench = Bench(settings(), [entry(server) for server in range(10, 18)])
+    before = [favourite(bench, key) for key in range(1, 200)]
+    bench.balancer.listed(0, Listing.CHANGES, [entry(12, phase=Phase.GONE)])
+    after = [favourite(bench, key) for key in range(1, 200)]
+    assert [b for a, b in zip(after, before) if a != b] == [b for b in before if b == 12]
+
+
+def test_unrepeatable_goes_on_only_when_it_provably_never_ran() -> None:
+    bench = Bench(settings(), [entry(server) for server in (10, 11, 12)])
+    for name, outcome in enumerate([Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.RESET, Outcome.ERROR]):
+        bench.end(bench.at(name).take(name, tariff=1), outcome)
+    check("unrepeatable", bench)
+
+
+@pytest.mark.parametrize("group", list(Group))
+def test_deduplicated_stays_inside_its_group_and_window(group: Group) -> None:
+    servers = [entry(10, 0, 0), entry(11, 0, 1), entry(12, 1, 2), entry(13, 1, 2), entry(14, 0, 0)]
+    bench = Bench(settings(marked(group)), servers)
+    for name in range(5):
+        one = bench.at(4 * name).take(name, key=name + 1, patience=4)
+        bench.at(4 * name + (2.1 if name == 4 else 0.1)).end(one, Outcome.RESET)
+        if not one.over():
+            bench.end(one, Outcome.RESET)
+    check(f"deduplicated_{group.name.lower()}", bench)
+
+
+def test_nothing_goes_to_draining_or_gone_servers_and_a_shrunk_list_defers() -> None:
+    bench = Bench(settings(), [entry(10), entry(11)])
+    bench.balancer.listed(0, Listing.CHANGES, [entry(10, phase=Phase.DRAINING)])
+    bench.take(1)
+    bench.balancer.listed(0, Listing.FULL, [])
+    bench.take(2)
+    bench.take(3, tariff=1)
+    check("drained", bench)
+
+
+def test_list_is_asked_for_again_after_failures_inside_the_time_it_is_deemed_told() -> None:
+    bench = Bench(settings(must_ask=True), [entry(10)])
+    for second in (1, 2):
+        bench.at(second).balancer.listed(bench.now, Listing.FAILED, [])
+        bench.at(second + 0.5)
+    bench.at(7).balancer.listed(bench.now, Listing.FULL, [entry(10)])
+    bench.at(40)
+    check("asking", bench)
+
+
+def test_cold_server_takes_its_budget_in_turns() -> None:
+    for me in range(3):
+        bench = Bench(settings(me=me), [entry(10, came_up=1), entry(11)])
+        sends = []
+        for step in range(4000):
+            one = bench.at(1 + step * 0.005).take(step, key=step + 1)
+            if bench.sent[-1] == 10:
+                sends.append(bench.now)
+            bench.at(1.004 + step * 0.005).end(one, Outcome.OK)
+        width, usual = 3 * SECOND, bench.balancer.usual[0]
+        for at in sends:
+            level = 0.2 + 0.8 * at / (20 * SECOND)
+            share = max(2, 2.5 * level * width / usual / 3)
+            assert sum(at - width < other <= at for other in sends) <= share
+
+
+def test_final_answer_comes_at_the_end_of_patience() -> None:
+    bench = Bench(settings(), [entry(10), entry(11)])
+    for name, tariff in ((1, 0), (2, 1)):
+        one = bench.at(3 * name).take(name, tariff=tariff, patience=1)
+        bench.at(3 * name + 1).end(one, Outcome.TIMEOUT)
+        one.woke(bench.now + SECOND)
+        assert one.over()
+    check("patience", bench)
+
+
+def test_jam_puts_a_limit_on_and_quick_answers_take_it_off() -> None:
+    bench = Bench(settings(READ, ONCE), [entry(server) for server in (10, 11, 12)])
+    held = [bench.at(0.01 * name).take(name, key=name, tariff=name % 2) for name in range(40)]
+    bench.at(1.2)
+    for one in held:
+        bench.end(one, Outcome.OK)
+    held = [bench.at(1.3 + 0.01 * name).take(100 + name, key=name, tariff=name % 2) for name in range(40)]
+    out = sum(one.out for one in held)
+    bench.at(1.75)
+    for one in held:
+        if one.out:
+            bench.end(one, Outcome.OK)
+    for name in range(200):
+        bench.end(bench.at(2 + 0.1 * name).take(200 + name, key=name), Outcome.OK)
+    logs = [line for line in bench.lines if "limit" in line]
+    bench.lines = logs
+    check("jam", bench, f"{out} of 40 sent under the limit")
+
+
+def test_hop_out_beyond_the_usual_time_sends_the_key_on() -> None:
+    bench = Bench(settings(), [entry(server) for server in (10, 11, 12)])
+    first = favourite(bench, 1)
+    bench.take(1)
+    bench.at(0.5).take(2)
+    assert bench.sent[-2] == first != bench.sent[-1]
+
+
+def test_generator_is_even_and_repeats_from_its_seed() -> None:
+    one, two = Chance(42), Chance(42)
+    draws = [one.share() for _ in range(4000)]
+    assert draws == [two.share() for _ in range(4000)]
+    assert math.isclose(sum(draws) / 4000, 0.5, abs_tol=0.03) and 0 <= min(draws) and max(draws) < 1
