--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -285,10 +285,10 @@
 
     def turned_away(self, one: Submission) -> bool:
         """Close to the limit of what may be out, submissions are turned away by chance, cheap ones sooner."""
-        if self.room == math.inf:
-            return False
+        if self.room == math.inf or self.all_in_flight == 0:
+            return False  # with nothing out there is nothing to protect, and turning away would teach nothing
         values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
-        value = min(2.0, values[one.tariff] * len(values) / sum(values))
+        value = min(2.0, max(0.5, values[one.tariff] * len(values) / sum(values)))
         if one.retry:
             # Guards the room against submissions that come back when most of their agreed time has passed.
             value *= max(0.2, self.settings.tariffs[one.tariff].late_gain)
