--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -23,6 +23,7 @@
 HALF_OPEN_TRIALS = 1
 PASS_OVER_MARGIN = 1.25
 STALL = 1.0
+ILL = 0.25                  # share of failures that opens a breaker
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
@@ -191,6 +192,7 @@
         self.fails: list[int] = []
         self.since: list[int] = []
         self.cooldown: list[int] = []
+        self.ill: list[float] = []
         self.generation: list[int] = []
         self.trials: list[int] = []
         # What this sidecar has seen.
@@ -248,7 +250,8 @@
                 column.append(0)
             self.phase.append(Phase.GONE)
             self.scale.append(1.0)
-            self.cooldown.append(COOLDOWN)
+            self.cooldown.append(0)
+            self.ill.append(0.0)
             self.lag.append(1.0)
             self.sent_cold.append(deque())
             self.out.append([])
@@ -259,7 +262,8 @@
             self.state[at] = CLOSED
             self.fails[at] = self.trials[at] = 0
             self.generation[at] += 1
-            self.cooldown[at] = COOLDOWN
+            self.cooldown[at] = 0
+            self.ill[at] = 0.0
             self.lag[at] = 1.0
         self.zone[at] = entry.zone
         self.cell[at] = entry.cell
@@ -443,8 +447,7 @@
         return hop
 
     def trip(self, now: int, at: int, cause: str) -> None:
-        if self.state[at] == HALF_OPEN:
-            self.cooldown[at] = min(LONGEST_COOLDOWN, 2 * self.cooldown[at])
+        self.cooldown[at] = min(LONGEST_COOLDOWN, max(COOLDOWN, 2 * self.cooldown[at]))
         self.state[at] = OPEN
         self.since[at] = now
         self.generation[at] += 1
@@ -456,6 +459,8 @@
         if hop.generation != self.generation[at] or hop.judged:
             return
         hop.judged = True
+        if cause not in ("late", "overdue"):
+            self.ill[at] += 0.1 * (failed - self.ill[at])
         if hop.trial and self.state[at] == HALF_OPEN:
             self.trials[at] -= 1
             if failed:
@@ -463,14 +468,18 @@
             else:
                 self.state[at] = CLOSED
                 self.fails[at] = 0
-                self.cooldown[at] = COOLDOWN
                 self.outlet.log(f"server {self.ids[at]} closed after a trial")
         elif failed:
             self.fails[at] += 1
             if self.fails[at] >= FAILURE_THRESHOLD and self.state[at] == CLOSED:
                 self.trip(now, at, f"{self.fails[at]} failures, {cause}")
+            elif self.ill[at] > ILL and self.state[at] == CLOSED:
+                # Guards against a server that fails part of its hops, so that they seldom come in a row.
+                self.trip(now, at, f"{self.ill[at]:.2f} of hops failed, {cause}")
         else:
             self.fails[at] = 0
+            if self.ill[at] < ILL / 2:
+                self.cooldown[at] = 0
 
     def hop_ended(self, now: int, tariff: int, hop: Hop, outcome: Outcome, spent: int) -> None:
         self.out[hop.server].remove(hop)
@@ -490,7 +499,8 @@
         if not hop.judged:
             self.judge_room(now, hop, spent > 0.7 * agreed)
         self.sample(now, tariff, hop.server, spent)
-        self.verdict(now, hop, spent > agreed and not self.all_late(now, hop.server), "late")
+        late = spent > agreed and not self.all_late(now, hop.server)
+        self.verdict(now, hop, late, "late" if late else "answered")
 
     def overdue(self, now: int, tariff: int, hop: Hop) -> None:
         if hop.judged:
