--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -316,7 +316,7 @@
             self.room = self.calm_room = max(2.0, self.calm_room)
             self.tardy = 0.2
         elif not tardy and self.all_in_flight + 1 > self.room / 2:
-            self.room += 0.5 if self.room < self.calm_room else 1.0 / self.room
+            self.room += 0.5 if self.room < self.calm_room else 0.3 / self.room
         elif self.room < math.inf and self.tardy < 0.02 and self.all_in_flight * 4 < self.room:
             self.outlet.log(f"limit off: {self.tardy:.2f} of hops tardy, {self.all_in_flight} out")
             self.room = math.inf
