--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -308,7 +308,7 @@
         if hop.at <= self.shrunk:
             return
         self.tardy += 0.06 * (tardy - self.tardy)
-        if self.tardy > 0.4:
+        if self.tardy > 0.3:
             self.shrunk = now
             self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
             if self.room == math.inf:
@@ -316,7 +316,7 @@
             self.room = self.calm_room = max(2.0, self.calm_room)
             self.tardy = 0.2
         elif not tardy and self.all_in_flight + 1 > self.room / 2:
-            self.room += 0.5 if self.room < self.calm_room else 0.3 / self.room
+            self.room += 0.5 if self.room < self.calm_room else 1.0 / self.room
         elif self.room < math.inf and self.tardy < 0.02 and self.all_in_flight * 4 < self.room:
             self.outlet.log(f"limit off: {self.tardy:.2f} of hops tardy, {self.all_in_flight} out")
             self.room = math.inf
@@ -497,7 +497,7 @@
     def answered(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
         agreed = self.settings.tariffs[tariff].agreed
         if not hop.judged:
-            self.judge_room(now, hop, spent > 0.7 * agreed)
+            self.judge_room(now, hop, spent > 0.85 * agreed)
         self.sample(now, tariff, hop.server, spent)
         late = spent > agreed and not self.all_late(now, hop.server)
         self.verdict(now, hop, late, "late" if late else "answered")
