--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -308,7 +308,7 @@
         if hop.at <= self.shrunk:
             return
         self.tardy += 0.06 * (tardy - self.tardy)
-        if self.tardy > 0.3:
+        if self.tardy > 0.4:
             self.shrunk = now
             self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
             if self.room == math.inf:
@@ -497,7 +497,7 @@
     def answered(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
         agreed = self.settings.tariffs[tariff].agreed
         if not hop.judged:
-            self.judge_room(now, hop, spent > 0.85 * agreed)
+            self.judge_room(now, hop, spent > min(0.7 * agreed, 6.0 * self.usual[tariff]))
         self.sample(now, tariff, hop.server, spent)
         late = spent > agreed and not self.all_late(now, hop.server)
         self.verdict(now, hop, late, "late" if late else "answered")
@@ -534,7 +534,7 @@
         self.lag_at[at] = now
         # A quantile, moved a little by each answer: guards against a few stuck hops making all look late.
         self.samples[tariff] += 1
-        step = max(0.01, 0.3 / self.samples[tariff])
+        step = max(0.01 if self.room == math.inf else 0.001, 0.3 / self.samples[tariff])
         self.usual[tariff] *= 1.0 + step if spent > self.usual[tariff] else 1.0 - step
 
     def lag_now(self, now: int, at: int) -> float:
