--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -22,6 +22,7 @@
 LONGEST_COOLDOWN = 10_000_000
 HALF_OPEN_TRIALS = 1
 PASS_OVER_MARGIN = 1.25
+QUEUED = 3.0                # usual times from which a hop has met a queue
 STALL = 1.0
 ILL = 0.25                  # share of failures that opens a breaker
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
@@ -198,6 +199,7 @@
         # What this sidecar has seen.
         self.out: list[list[Hop]] = []
         self.lag: list[float] = []
+        self.queued: list[float] = []
         self.lag_at: list[int] = []
         self.sent_cold: list[deque[int]] = []
         self.all_in_flight = 0
@@ -252,6 +254,7 @@
             self.scale.append(1.0)
             self.cooldown.append(0)
             self.ill.append(0.0)
+            self.queued.append(0.0)
             self.lag.append(1.0)
             self.sent_cold.append(deque())
             self.out.append([])
@@ -299,22 +302,28 @@
         load = (self.all_in_flight + 1) / self.room
         return self.chance.share() < (load - 1.0) / 0.25 + 1.0 / value
 
-    def judge_room(self, now: int, hop: Hop, tardy: bool) -> None:
+    def judge_room(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
         """Let less be out while too many hops take long, more again while they do not.
 
         Guards against a jam that feeds itself: servers go on with work nobody waits for any more, so that at
-        an unchanged rate of sends nothing is ever answered in time again.
+        an unchanged rate of sends nothing is ever answered in time again.  Looks at the middle server too, as
+        queues can harm servers long before hops are late, while a few slow servers are the breakers' matter.
         """
-        if hop.at <= self.shrunk:
+        if hop.at <= self.shrunk or hop.server not in self.ready:
             return
+        tardy = spent > 0.7 * self.settings.tariffs[tariff].agreed
         self.tardy += 0.06 * (tardy - self.tardy)
-        if self.tardy > 0.4:
+        self.queued[hop.server] += 0.2 * ((spent > QUEUED * self.usual[tariff]) - self.queued[hop.server])
+        middle = sorted(self.queued[at] for at in self.ready)[len(self.ready) // 2]
+        if self.tardy > 0.4 or middle > 0.4:
             self.shrunk = now
             self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
             if self.room == math.inf:
-                self.outlet.log(f"limit on: {self.tardy:.2f} of hops tardy, {self.calm_room:.0f} may be out")
+                self.outlet.log(f"limit on: {self.tardy:.2f} of hops tardy, {middle:.2f} queued at the middle "
+                                f"server, {self.calm_room:.0f} may be out")
             self.room = self.calm_room = max(2.0, self.calm_room)
-            self.tardy = 0.2
+            self.tardy = min(self.tardy, 0.2)
+            self.queued = [share / 2 for share in self.queued]
         elif not tardy and self.all_in_flight + 1 > self.room / 2:
             self.room += 0.5 if self.room < self.calm_room else 1.0 / self.room
         elif self.room < math.inf and self.tardy < 0.02 and self.all_in_flight * 4 < self.room:
@@ -497,7 +506,7 @@
     def answered(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
         agreed = self.settings.tariffs[tariff].agreed
         if not hop.judged:
-            self.judge_room(now, hop, spent > min(0.7 * agreed, 6.0 * self.usual[tariff]))
+            self.judge_room(now, tariff, hop, spent)
         self.sample(now, tariff, hop.server, spent)
         late = spent > agreed and not self.all_late(now, hop.server)
         self.verdict(now, hop, late, "late" if late else "answered")
@@ -505,7 +514,7 @@
     def overdue(self, now: int, tariff: int, hop: Hop) -> None:
         if hop.judged:
             return
-        self.judge_room(now, hop, True)
+        self.judge_room(now, tariff, hop, now - hop.at)
         self.sample(now, tariff, hop.server, now - hop.at)
         if not self.all_late(now, hop.server):
             self.verdict(now, hop, True, "overdue")
