--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -373,7 +373,7 @@
             lag = self.lag_now(now, at)
             crowded = len(self.out[at]) >= 2 and len(self.out[at]) > PASS_OVER_MARGIN * fair
             stalled = len(self.out[at]) > 0 and now > self.out[at][0].due
-            slow = lag > 2.0
+            slow = lag > 2.0 and self.usual[one.tariff] * lag > tariff.agreed / 2
             if not crowded and not slow and not stalled:
                 return at
             cost = (len(self.out[at]) + 1) * lag / self.scale[at]
