--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -89,7 +89,6 @@
     crossing_price: float
     must_ask: bool
     ask_every: int
-    may_probe: bool
     most_hops: int
     most_retry_in: int
     cold_from: float
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -23,6 +23,7 @@
 HALF_OPEN_TRIALS = 1
 PASS_OVER_MARGIN = 1.25
 QUEUED = 3.0                # usual times from which a hop has met a queue
+SURPLUS = 1.2               # times its part of the shares, from which a tenant is beyond its share
 STALL = 1.0
 ILL = 0.25                  # share of failures that opens a breaker
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
@@ -200,13 +201,15 @@
         self.out: list[list[Hop]] = []
         self.lag: list[float] = []
         self.queued: list[float] = []
+        self.late: list[bool] = []
         self.lag_at: list[int] = []
         self.sent_cold: list[deque[int]] = []
         self.all_in_flight = 0
         self.usual = [tariff.agreed / 4 for tariff in settings.tariffs]
         self.samples = [0] * len(settings.tariffs)
+        self.taken = [0.0] * len(settings.quotas)
         self.retries_left = 10.0
-        # How much may be out, how much could be after the last cut, when that was, and the share of tardy hops.
+        # How much may be out, how much could after the last cut, when that was, and the share of tardy hops.
         self.room = math.inf
         self.calm_room = math.inf
         self.shrunk = 0
@@ -255,6 +258,7 @@
             self.cooldown.append(0)
             self.ill.append(0.0)
             self.queued.append(0.0)
+            self.late.append(False)
             self.lag.append(1.0)
             self.sent_cold.append(deque())
             self.out.append([])
@@ -281,9 +285,14 @@
 
     # -- taking
 
-    def take(self, now: int, name: int, tariff: int, tenant: int, key: int, retry: bool, until: int) -> Submission:
+    def take(self, now: int, name: int, tariff: int, tenant: int, key: int, retry: bool,
+             until: int) -> Submission:
+        """Take a submission; `until` is when its client gives up, a key of 0 means none."""
         one = Submission(self, name, tariff, tenant, key, retry, until)
         self.retries_left = min(10.0, self.retries_left + 0.2)
+        if tenant < len(self.taken) and not retry:
+            self.taken = [count * 0.995 for count in self.taken]
+            self.taken[tenant] += 1.0
         if self.turned_away(one):
             one.give_up(now)
         else:
@@ -296,12 +305,21 @@
             return False  # with nothing out there is nothing to protect, and turning away would teach nothing
         values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
         value = min(2.0, max(0.5, values[one.tariff] * len(values) / sum(values)))
+        if self.beyond_share(one.tenant):
+            value *= max(0.2, self.settings.surplus_gain)
         if one.retry:
             # Guards the room against submissions that come back when most of their agreed time has passed.
             value *= max(0.2, self.settings.tariffs[one.tariff].late_gain)
         load = (self.all_in_flight + 1) / self.room
         return self.chance.share() < (load - 1.0) / 0.25 + 1.0 / value
 
+    def beyond_share(self, tenant: int) -> bool:
+        """Whether this sidecar's traffic holds more of a tenant than the shares agreed with the tenants."""
+        quotas, taken = self.settings.quotas, self.taken
+        if tenant >= len(quotas):
+            return False
+        return taken[tenant] * sum(quotas) > SURPLUS * quotas[tenant] * sum(taken)
+
     def judge_room(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
         """Let less be out while too many hops take long, more again while they do not.
 
@@ -319,8 +337,8 @@
             self.shrunk = now
             self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
             if self.room == math.inf:
-                self.outlet.log(f"limit on: {self.tardy:.2f} of hops tardy, {middle:.2f} queued at the middle "
-                                f"server, {self.calm_room:.0f} may be out")
+                self.outlet.log(f"limit on: {self.tardy:.2f} of hops tardy, {middle:.2f} of those at the "
+                                f"middle server queued, {self.calm_room:.0f} may be out")
             self.room = self.calm_room = max(2.0, self.calm_room)
             self.tardy = min(self.tardy, 0.2)
             self.queued = [share / 2 for share in self.queued]
@@ -380,7 +398,7 @@
             if cost < least:
                 fallback, least = at, cost
         if fallback < 0 and order:
-            # Guards against all breakers refusing at once: that is no server's sickness, so the key's order holds.
+            # Guards against all breakers refusing at once: no server's sickness, so the key's order holds.
             for _, at in order:
                 if self.cold_room(now, at):
                     return at
@@ -451,7 +469,8 @@
         self.all_in_flight += 1
         if self.warmth(now, at) < 1.0:
             self.sent_cold[at].append(now)
-        hop = Hop(now, now + int(STALL * self.usual[tariff]), at, self.generation[at], trial, self.all_in_flight)
+        due = now + int(STALL * self.usual[tariff])
+        hop = Hop(now, due, at, self.generation[at], trial, self.all_in_flight)
         self.out[at].append(hop)
         return hop
 
@@ -508,32 +527,24 @@
         if not hop.judged:
             self.judge_room(now, tariff, hop, spent)
         self.sample(now, tariff, hop.server, spent)
-        late = spent > agreed and not self.all_late(now, hop.server)
+        late = spent > agreed and not self.all_late(hop.server)
         self.verdict(now, hop, late, "late" if late else "answered")
 
     def overdue(self, now: int, tariff: int, hop: Hop) -> None:
         if hop.judged:
             return
         self.judge_room(now, tariff, hop, now - hop.at)
-        self.sample(now, tariff, hop.server, now - hop.at)
-        if not self.all_late(now, hop.server):
+        self.sample(now, tariff, hop.server, max(now - hop.at, self.settings.tariffs[tariff].agreed + 1))
+        if not self.all_late(hop.server):
             self.verdict(now, hop, True, "overdue")
         elif hop.trial and hop.generation == self.generation[hop.server]:
             self.trials[hop.server] -= 1
         hop.judged = True
 
-    def all_late(self, now: int, but: int) -> bool:
-        """Whether the middle of the other servers is late too: no one server's sickness."""
-        others = sorted(self.lag_now(now, at) for at in self.ready if at != but)
-        if not others:
-            return False
-        middle = others[len(others) // 2]
-        return self.usual_share() * middle > 0.7
-
-    def usual_share(self) -> float:
-        """The usual time as a share of the agreed one, over the tariffs."""
-        shares = [usual / tariff.agreed for usual, tariff in zip(self.usual, self.settings.tariffs)]
-        return sum(shares) / len(shares)
+    def all_late(self, but: int) -> bool:
+        """Whether the last hops to half of the other servers were late too: no one server's sickness."""
+        others = [self.late[at] for at in self.ready if at != but and self.lag_at[at]]
+        return len(others) > 0 and 2 * sum(others) >= len(others)
 
     # -- what is seen
 
@@ -541,6 +552,7 @@
         ratio = spent / self.usual[tariff]
         self.lag[at] = self.lag_now(now, at) * 0.7 + min(ratio, 20.0) * 0.3
         self.lag_at[at] = now
+        self.late[at] = spent > self.settings.tariffs[tariff].agreed
         # A quantile, moved a little by each answer: guards against a few stuck hops making all look late.
         self.samples[tariff] += 1
         step = max(0.01 if self.room == math.inf else 0.001, 0.3 / self.samples[tariff])
@@ -549,6 +561,3 @@
     def lag_now(self, now: int, at: int) -> float:
         """How much longer than usual this server takes; fades to 1 when nothing is heard of it."""
         return 1.0 + (self.lag[at] - 1.0) * math.exp(-(now - self.lag_at[at]) / MEMORY)
-
-    def probed(self, now: int, server: int, outcome: Outcome, spent: int) -> None:
-        """Nothing is probed yet, so that no result can come."""
--- a/pumicepath/wirehost/host.py
+++ b/pumicepath/wirehost/host.py
@@ -142,10 +142,8 @@
             if handle is not None:
                 handle.started(now, fields[2])
         elif code == frames.PROBED:
-            _, server, status, spent = fields
-            if status not in OUTCOMES:
-                raise Malformed(f"unknown outcome {status}")
-            instance.balancer.probed(now, server, OUTCOMES[status], micros(spent))
+            if fields[2] not in OUTCOMES:
+                raise Malformed(f"unknown outcome {fields[2]}")
 
     @staticmethod
     def forget(instance: Instance, name: int, handle: Submission) -> None:
--- a/pumicepath/wirehost/settings.py
+++ b/pumicepath/wirehost/settings.py
@@ -7,7 +7,9 @@
 
 from ..interface import Effect, Group, Settings, Tariff
 
-EFFECTS = {"idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED, "at_most_once": Effect.UNREPEATABLE}
+EFFECTS = {
+    "idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED, "at_most_once": Effect.UNREPEATABLE,
+}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 DAY = 86_400.0
 
@@ -24,7 +26,6 @@
         crossing_price=info.get("prices", {}).get("crossZone", 0.0),
         must_ask=info.get("membershipMode") == "on_request",
         ask_every=down(rules.get("askEveryS", DAY)),
-        may_probe=limits.get("probing", False),
         most_hops=limits.get("mostHops", 1),
         most_retry_in=down(limits.get("maxRetryAfterS", 0.0)) if limits.get("retryAfter") else 0,
         cold_from=rules.get("coldFrom", 1.0),
