--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -84,8 +84,6 @@
     fleet: int
     zone: int
     tariffs: tuple[Tariff, ...]
-    quotas: tuple[float, ...]
-    surplus_gain: float
     crossing_price: float
     must_ask: bool
     ask_every: int
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -23,7 +23,6 @@
 HALF_OPEN_TRIALS = 1
 PASS_OVER_MARGIN = 1.25
 QUEUED = 3.0                # usual times from which a hop has met a queue
-SURPLUS = 1.2               # times its part of the shares, from which a tenant is beyond its share
 STALL = 1.0
 ILL = 0.25                  # share of failures that opens a breaker
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
@@ -70,14 +69,13 @@
 class Submission:
     """One submission from its taking to its final answer, and its hops until the last has ended."""
 
-    __slots__ = ("balancer", "name", "tariff", "tenant", "key", "until", "retry", "hops", "out", "done")
+    __slots__ = ("balancer", "name", "tariff", "key", "until", "retry", "hops", "out", "done")
 
-    def __init__(self, balancer: Balancer, name: int, tariff: int, tenant: int, key: int, retry: bool,
+    def __init__(self, balancer: Balancer, name: int, tariff: int, key: int, retry: bool,
                  until: int) -> None:
         self.balancer = balancer
         self.name = name
         self.tariff = tariff
-        self.tenant = tenant
         self.key = key
         self.until = until
         self.retry = retry
@@ -207,7 +205,6 @@
         self.all_in_flight = 0
         self.usual = [tariff.agreed / 4 for tariff in settings.tariffs]
         self.samples = [0] * len(settings.tariffs)
-        self.taken = [0.0] * len(settings.quotas)
         self.retries_left = 10.0
         # How much may be out, how much could after the last cut, when that was, and the share of tardy hops.
         self.room = math.inf
@@ -285,14 +282,10 @@
 
     # -- taking
 
-    def take(self, now: int, name: int, tariff: int, tenant: int, key: int, retry: bool,
-             until: int) -> Submission:
+    def take(self, now: int, name: int, tariff: int, key: int, retry: bool, until: int) -> Submission:
         """Take a submission; `until` is when its client gives up, a key of 0 means none."""
-        one = Submission(self, name, tariff, tenant, key, retry, until)
+        one = Submission(self, name, tariff, key, retry, until)
         self.retries_left = min(10.0, self.retries_left + 0.2)
-        if tenant < len(self.taken) and not retry:
-            self.taken = [count * 0.995 for count in self.taken]
-            self.taken[tenant] += 1.0
         if self.turned_away(one):
             one.give_up(now)
         else:
@@ -305,21 +298,12 @@
             return False  # with nothing out there is nothing to protect, and turning away would teach nothing
         values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
         value = min(2.0, max(0.5, values[one.tariff] * len(values) / sum(values)))
-        if self.beyond_share(one.tenant):
-            value *= max(0.2, self.settings.surplus_gain)
         if one.retry:
             # Guards the room against submissions that come back when most of their agreed time has passed.
             value *= max(0.2, self.settings.tariffs[one.tariff].late_gain)
         load = (self.all_in_flight + 1) / self.room
         return self.chance.share() < (load - 1.0) / 0.25 + 1.0 / value
 
-    def beyond_share(self, tenant: int) -> bool:
-        """Whether this sidecar's traffic holds more of a tenant than the shares agreed with the tenants."""
-        quotas, taken = self.settings.quotas, self.taken
-        if tenant >= len(quotas):
-            return False
-        return taken[tenant] * sum(quotas) > SURPLUS * quotas[tenant] * sum(taken)
-
     def judge_room(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
         """Let less be out while too many hops take long, more again while they do not.
 
--- a/pumicepath/wirehost/host.py
+++ b/pumicepath/wirehost/host.py
@@ -109,9 +109,9 @@
         if instance is None:
             return
         if code == frames.INGRESS:
-            _, name, tenant, key, marks, _, until, tariff = fields
+            _, name, _, key, marks, _, until, tariff = fields
             instance.handles[name] = instance.balancer.take(
-                now, name, tariff, tenant, key, bool(marks & 2), micros(until))
+                now, name, tariff, key, bool(marks & 2), micros(until))
         elif code == frames.REPORT:
             _, name, complete, status, spent, _, hop = fields
             if status not in OUTCOMES:
@@ -141,9 +141,8 @@
             handle = instance.handles.get(fields[1])
             if handle is not None:
                 handle.started(now, fields[2])
-        elif code == frames.PROBED:
-            if fields[2] not in OUTCOMES:
-                raise Malformed(f"unknown outcome {fields[2]}")
+        elif code == frames.PROBED and fields[2] not in OUTCOMES:
+            raise Malformed(f"unknown outcome {fields[2]}")
 
     @staticmethod
     def forget(instance: Instance, name: int, handle: Submission) -> None:
--- a/pumicepath/wirehost/settings.py
+++ b/pumicepath/wirehost/settings.py
@@ -21,8 +21,6 @@
         fleet=max(1, info.get("fleetSize", 1)),
         zone=info.get("zone", 0),
         tariffs=tuple(tariff(entry) for entry in info.get("tariffs", [])),
-        quotas=tuple(entry.get("quotaPerS", 0.0) for entry in info.get("tenants", [])),
-        surplus_gain=info.get("surplusGain", 1.0),
         crossing_price=info.get("prices", {}).get("crossZone", 0.0),
         must_ask=info.get("membershipMode") == "on_request",
         ask_every=down(rules.get("askEveryS", DAY)),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -20,7 +20,7 @@
 
 def settings(*tariffs: Tariff, **changed: object) -> Settings:
     values: dict = {
-        "me": 0, "fleet": 3, "zone": 0, "tariffs": tariffs or (READ, ONCE), "quotas": (), "surplus_gain": 1.0,
+        "me": 0, "fleet": 3, "zone": 0, "tariffs": tariffs or (READ, ONCE),
         "crossing_price": 0.0, "must_ask": False, "ask_every": 10 * SECOND,
         "most_hops": 4, "most_retry_in": 2 * SECOND, "cold_from": 0.2, "cold_for": 20 * SECOND,
         "fall_multiple": 2.5, "fall_window": 3 * SECOND,
@@ -80,7 +80,7 @@
         return self
 
     def take(self, name: int, key: int = 1, tariff: int = 0, patience: float = 2.0) -> Submission:
-        return self.balancer.take(self.now, name, tariff, 0, key, False, self.now + int(patience * SECOND))
+        return self.balancer.take(self.now, name, tariff, key, False, self.now + int(patience * SECOND))
 
     def end(self, one: Submission, outcome: Outcome, hop: int = -1) -> None:
         """One hop, the last unless named, ends; only a success finishes the submission."""
