--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -391,7 +391,9 @@
     def foreign(self) -> float:
         """What a server of another zone counts for: little, until lateness costs more than crossing does."""
         price = self.settings.crossing_price
-        return 1.0 if price <= 0.0 else min(1.0, max(0.05, 0.5 * self.tardy / price))
+        if price <= 0.0 or self.room < math.inf:
+            return 1.0  # guards against turning away for want of room while other zones idle
+        return min(1.0, max(0.05, 0.5 * self.tardy / price))
 
     def same_group(self, bound: tuple[Group, int], at: int) -> bool:
         group, first = bound
