--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -391,9 +391,7 @@
     def foreign(self) -> float:
         """What a server of another zone counts for: little, until lateness costs more than crossing does."""
         price = self.settings.crossing_price
-        if price <= 0.0 or self.room < math.inf:
-            return 1.0  # guards against turning away for want of room while other zones idle
-        return min(1.0, max(0.05, 0.5 * self.tardy / price))
+        return 1.0 if price <= 0.0 else min(1.0, max(0.05, 0.5 * self.tardy / price))
 
     def same_group(self, bound: tuple[Group, int], at: int) -> bool:
         group, first = bound
@@ -448,10 +446,13 @@
         """Count a send, which makes an open breaker half-open and is then its trial."""
         if self.state[at] == OPEN and now - self.since[at] >= self.cooldown[at]:
             self.state[at] = HALF_OPEN
-            self.since[at] = now
             self.trials[at] = 0
         trial = self.state[at] == HALF_OPEN
-        self.trials[at] += trial
+        if trial:
+            # The deadline runs from the trial itself: guards against a fresh trial, sent after earlier ones
+            # ended without a verdict, being taken for one that has been out since half-open began.
+            self.since[at] = now
+            self.trials[at] += 1
         self.all_in_flight += 1
         if self.warmth(now, at) < 1.0:
             self.sent_cold[at].append(now)
