Only a closed breaker's Cooldown is reset

Cause: a success of a hop sent while all breakers refuse set an open breaker's wait to nothing, and its next trial expired at once.

--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -491,7 +491,7 @@
             elif self.ill[at] > ILL and self.state[at] == CLOSED:
                 # Guards against a server that fails part of its hops, so that they seldom come in a row.
                 self.trip(now, at, f"{self.ill[at]:.2f} of hops failed, {cause}")
-        else:
+        elif self.state[at] == CLOSED:  # a hop sent while all refused must not shorten an open breaker's wait
             self.fails[at] = 0
             if self.ill[at] < ILL / 2:
                 self.cooldown[at] = 0
