--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -530,7 +530,8 @@
 
     def all_late(self, but: int) -> bool:
         """Whether the last hops to half of the other servers were late too: no one server's sickness."""
-        others = [self.late[at] for at in self.ready if at != but and self.lag_at[at]]
+        others = [self.late[at] or self.state[at] != CLOSED for at in self.ready
+                  if at != but and self.lag_at[at]]
         return len(others) > 0 and 2 * sum(others) >= len(others)
 
     # -- what is seen
