--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -204,6 +204,7 @@
         self.sent_cold: list[deque[int]] = []
         self.all_in_flight = 0
         self.usual = [tariff.agreed / 4 for tariff in settings.tariffs]
+        self.calm = list(self.usual)
         self.samples = [0] * len(settings.tariffs)
         self.retries_left = 10.0
         # How much may be out, how much could after the last cut, when that was, and the share of tardy hops.
@@ -418,8 +419,8 @@
         sent = self.sent_cold[at]
         while sent and sent[0] <= now - settings.fall_window:
             sent.popleft()
-        usual = sum(self.usual) / len(self.usual)
-        budget = 0.7 * settings.fall_multiple * warmth * settings.fall_window / usual
+        # In the times of calm: in a jam usual times are mostly waiting, and would hold warmed servers back.
+        budget = 0.7 * settings.fall_multiple * warmth * settings.fall_window * len(self.calm) / sum(self.calm)
         own = budget / settings.fleet
         if own >= 1.0:
             return len(sent) < int(own)
@@ -545,6 +546,8 @@
         self.samples[tariff] += 1
         step = max(0.01 if self.room == math.inf else 0.001, 0.3 / self.samples[tariff])
         self.usual[tariff] *= 1.0 + step if spent > self.usual[tariff] else 1.0 - step
+        if self.samples[tariff] < 30 or self.usual[tariff] < self.calm[tariff]:
+            self.calm[tariff] = self.usual[tariff]
 
     def lag_now(self, now: int, at: int) -> float:
         """How much longer than usual this server takes; fades to 1 when nothing is heard of it."""
