--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -318,8 +318,7 @@
         self.tardy += 0.06 * (tardy - self.tardy)
         self.queued[hop.server] += 0.2 * ((spent > QUEUED * self.usual[tariff]) - self.queued[hop.server])
         middle = sorted(self.queued[at] for at in self.ready)[len(self.ready) // 2]
-        lag = sorted(self.lag[at] for at in self.ready)[len(self.ready) // 2]
-        if self.tardy > 0.4 and lag > 1.3 or middle > 0.4:
+        if self.tardy > 0.4 or middle > 0.4:
             self.shrunk = now
             self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
             if self.room == math.inf:
@@ -336,7 +335,7 @@
 
     def retry_in(self, one: Submission) -> int:
         agreed = self.settings.tariffs[one.tariff].agreed
-        return min(self.settings.most_retry_in, int(agreed * (0.5 + self.chance.share())))
+        return min(self.settings.most_retry_in, int(agreed * (1.5 + self.chance.share())))
 
     def may_retry(self, one: Submission) -> bool:
         if not one.hops:
