--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -335,7 +335,7 @@
 
     def retry_in(self, one: Submission) -> int:
         agreed = self.settings.tariffs[one.tariff].agreed
-        return min(self.settings.most_retry_in, int(agreed * (1.5 + self.chance.share())))
+        return min(self.settings.most_retry_in, int(agreed * (0.5 + self.chance.share())))
 
     def may_retry(self, one: Submission) -> bool:
         if not one.hops:
@@ -505,6 +505,9 @@
         elif outcome == Outcome.TIMEOUT and spent >= self.settings.tariffs[tariff].agreed:
             self.overdue(now, tariff, hop)
         elif outcome in NEUTRAL or outcome == Outcome.TIMEOUT:
+            if outcome == Outcome.FULL:
+                # No verdict on the server, but guards against sending on into queues that are full.
+                self.judge_room(now, tariff, hop, self.settings.tariffs[tariff].agreed)
             if hop.trial and hop.generation == self.generation[hop.server] and not hop.judged:
                 self.trials[hop.server] -= 1
         else:
