--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -506,8 +506,9 @@
             self.overdue(now, tariff, hop)
         elif outcome in NEUTRAL or outcome == Outcome.TIMEOUT:
             if outcome == Outcome.FULL:
-                # No verdict on the server, but guards against sending on into queues that are full.
-                self.judge_room(now, tariff, hop, self.settings.tariffs[tariff].agreed)
+                # No verdict, but what is full answers late at best: guards against sending there again at once.
+                self.lag[hop.server] = self.settings.tariffs[tariff].agreed / self.usual[tariff]
+                self.lag_at[hop.server] = now
             if hop.trial and hop.generation == self.generation[hop.server] and not hop.judged:
                 self.trials[hop.server] -= 1
         else:
