--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -315,7 +315,7 @@
         if hop.at <= self.shrunk or hop.server not in self.ready:
             return
         tardy = spent > 0.7 * self.settings.tariffs[tariff].agreed
-        self.tardy += 0.06 * (tardy - self.tardy)
+        self.tardy += 0.12 * (tardy - self.tardy)
         self.queued[hop.server] += 0.2 * ((spent > QUEUED * self.usual[tariff]) - self.queued[hop.server])
         middle = sorted(self.queued[at] for at in self.ready)[len(self.ready) // 2]
         if self.tardy > 0.4 or middle > 0.4:
@@ -505,10 +505,6 @@
         elif outcome == Outcome.TIMEOUT and spent >= self.settings.tariffs[tariff].agreed:
             self.overdue(now, tariff, hop)
         elif outcome in NEUTRAL or outcome == Outcome.TIMEOUT:
-            if outcome == Outcome.FULL:
-                # No verdict, but what is full answers late at best: guards against sending there again at once.
-                self.lag[hop.server] = self.settings.tariffs[tariff].agreed / self.usual[tariff]
-                self.lag_at[hop.server] = now
             if hop.trial and hop.generation == self.generation[hop.server] and not hop.judged:
                 self.trials[hop.server] -= 1
         else:
