--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -315,7 +315,7 @@
         if hop.at <= self.shrunk or hop.server not in self.ready:
             return
         tardy = spent > 0.7 * self.settings.tariffs[tariff].agreed
-        self.tardy += 0.12 * (tardy - self.tardy)
+        self.tardy += 0.04 * (tardy - self.tardy)
         self.queued[hop.server] += 0.2 * ((spent > QUEUED * self.usual[tariff]) - self.queued[hop.server])
         middle = sorted(self.queued[at] for at in self.ready)[len(self.ready) // 2]
         if self.tardy > 0.4 or middle > 0.4:
