--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -1,6 +1,6 @@
 """All decisions of one sidecar.
 
-A host makes one `Balancer` for each sidecar it runs, tells it of lists and probes, and calls `take` for
+A host makes one `Balancer` for each sidecar it runs, tells it of lists, and calls `take` for
 each submission.  The `Submission` that comes back is the handle: outcomes of its hops, its wakes and its
 client's leaving are calls on it.  Answers go to the `Outlet`.  All types are in `interface`.
 """
@@ -14,17 +14,19 @@
 from .interface import Effect, Entry, Group, Listing, Outcome, Outlet, Phase, Settings
 
 CLOSED, OPEN, HALF_OPEN = range(3)
-STATES = ("closed", "open", "half-open")
 MASK = (1 << 64) - 1
 
 FAILURE_THRESHOLD = 3
 COOLDOWN = 5_000_000
 LONGEST_COOLDOWN = 10_000_000
 HALF_OPEN_TRIALS = 1
-PASS_OVER_MARGIN = 1.25
+PASS_OVER_MARGIN = 1.25     # times a server's fair part of all that is out
 QUEUED = 3.0                # usual times from which a hop has met a queue
-STALL = 1.0
+STALL = 1.0                 # usual times from which a hop still out marks its server as stalled
+TARDY = 0.7                 # part of the agreed time from which a hop is tardy
+JAM = 0.4                   # share of tardy or queued hops that cuts what may be out
 ILL = 0.25                  # share of failures that opens a breaker
+COLD_PART = 0.7             # of what the rules let all sidecars together send to a cold server
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
@@ -52,7 +54,8 @@
 
 
 class Hop:
-    __slots__ = ("at", "due", "server", "generation", "trial", "out", "may_have_run", "judged", "load")
+    __slots__ = ("at", "due", "server", "generation", "trial", "load", "out", "may_have_run", "judged",
+                 "begun")
 
     def __init__(self, at: int, due: int, server: int, generation: int, trial: bool, load: int) -> None:
         self.at = at
@@ -63,6 +66,7 @@
         self.out = True
         self.may_have_run = True
         self.judged = False
+        self.begun = False
         self.load = load
 
 
@@ -87,11 +91,12 @@
         return self.done and self.out == 0
 
     def started(self, now: int, number: int) -> None:
-        """The answer of a hop has begun: it belongs to the client now, and the server has shown health."""
+        """The answer of a hop has begun: the verdict of a trial; a break later still counts as failure."""
         hop = self.hops[number]
-        self.balancer.answered(now, self.tariff, hop, now - hop.at)
-        hop.judged = True
-        self.until = 1 << 62
+        if hop.out and not hop.begun:
+            self.balancer.answered(now, self.tariff, hop, now - hop.at)
+            hop.begun = True
+            hop.trial = hop.judged = False
 
     def ended(self, now: int, number: int, outcome: Outcome, spent: int, finished: bool) -> None:
         hop = self.hops[number]
@@ -120,7 +125,7 @@
         balancer = self.balancer
         agreed = balancer.settings.tariffs[self.tariff].agreed
         for hop in self.hops:
-            if hop.out and not hop.judged and now - hop.at >= agreed:
+            if hop.out and not hop.judged and not hop.begun and now - hop.at >= agreed:
                 balancer.overdue(now, self.tariff, hop)
 
     def bound(self, now: int) -> tuple[Group, int] | None:
@@ -203,7 +208,7 @@
         self.lag_at: list[int] = []
         self.sent_cold: list[deque[int]] = []
         self.all_in_flight = 0
-        self.usual = [tariff.agreed / 4 for tariff in settings.tariffs]
+        self.usual = [max(1.0, tariff.agreed / 4) for tariff in settings.tariffs]
         self.calm = list(self.usual)
         self.samples = [0] * len(settings.tariffs)
         self.retries_left = 10.0
@@ -215,7 +220,6 @@
         # Asking for the list.
         self.following = not settings.must_ask
         self.asking = False
-        self.ask_after = 0
 
     # -- the list
 
@@ -314,18 +318,18 @@
         """
         if hop.at <= self.shrunk or hop.server not in self.ready:
             return
-        tardy = spent > 0.7 * self.settings.tariffs[tariff].agreed
-        self.tardy += 0.04 * (tardy - self.tardy)
+        tardy = spent > TARDY * self.settings.tariffs[tariff].agreed
+        self.tardy += 0.06 * (tardy - self.tardy)
         self.queued[hop.server] += 0.2 * ((spent > QUEUED * self.usual[tariff]) - self.queued[hop.server])
         middle = sorted(self.queued[at] for at in self.ready)[len(self.ready) // 2]
-        if self.tardy > 0.4 or middle > 0.4:
+        if self.tardy > JAM or middle > JAM:
             self.shrunk = now
             self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
             if self.room == math.inf:
                 self.outlet.log(f"limit on: {self.tardy:.2f} of hops tardy, {middle:.2f} of those at the "
                                 f"middle server queued, {self.calm_room:.0f} may be out")
             self.room = self.calm_room = max(2.0, self.calm_room)
-            self.tardy = min(self.tardy, 0.2)
+            self.tardy = min(self.tardy, JAM / 2)
             self.queued = [share / 2 for share in self.queued]
         elif not tardy and self.all_in_flight + 1 > self.room / 2:
             self.room += 0.5 if self.room < self.calm_room else 1.0 / self.room
@@ -408,7 +412,7 @@
             return 1.0
         start = self.settings.cold_from
         age = max(0, now - self.came_up[at])
-        return min(1.0, start + (1.0 - start) * age / max(1, self.settings.cold_for))
+        return min(1.0, max(0.01, start + (1.0 - start) * age / max(1, self.settings.cold_for)))
 
     def cold_room(self, now: int, at: int) -> bool:
         """A cold server takes from this sidecar only its part of what may be sent over any window."""
@@ -420,7 +424,8 @@
         while sent and sent[0] <= now - settings.fall_window:
             sent.popleft()
         # In the times of calm: in a jam usual times are mostly waiting, and would hold warmed servers back.
-        budget = 0.7 * settings.fall_multiple * warmth * settings.fall_window * len(self.calm) / sum(self.calm)
+        usual = sum(self.calm) / len(self.calm)
+        budget = COLD_PART * settings.fall_multiple * warmth * settings.fall_window / usual
         own = budget / settings.fleet
         if own >= 1.0:
             return len(sent) < int(own)
@@ -500,7 +505,9 @@
     def hop_ended(self, now: int, tariff: int, hop: Hop, outcome: Outcome, spent: int) -> None:
         self.out[hop.server].remove(hop)
         self.all_in_flight -= 1
-        if outcome == Outcome.OK:
+        if hop.begun:
+            self.verdict(now, hop, outcome in (Outcome.ERROR, Outcome.RESET), "broken stream")
+        elif outcome == Outcome.OK:
             self.answered(now, tariff, hop, spent)
         elif outcome == Outcome.TIMEOUT and spent >= self.settings.tariffs[tariff].agreed:
             self.overdue(now, tariff, hop)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -187,3 +187,78 @@
     draws = [one.share() for _ in range(4000)]
     assert draws == [two.share() for _ in range(4000)]
     assert math.isclose(sum(draws) / 4000, 0.5, abs_tol=0.03) and min(draws) >= 0 and max(draws) < 1
+
+
+def test_success_while_all_refuse_does_not_shorten_an_open_breakers_wait() -> None:
+    bench = Bench(settings(), [entry(10)])
+    for name in range(3):
+        bench.end(bench.at(name).take(name), Outcome.RESET)
+    for name in range(3, 13):
+        bench.end(bench.at(2 + name * 0.1).take(name), Outcome.OK)
+    stuck = bench.at(8).take(20)
+    bench.end(bench.at(8.1).take(21), Outcome.OK)
+    bench.end(stuck, Outcome.OK)
+    check("last_resort", bench)
+
+
+def test_trial_deadline_runs_from_the_trial_not_from_half_open() -> None:
+    bench = Bench(settings(), [entry(10), entry(11)])
+    favourite(bench, 1)
+    bench.quick(1, 3, 1, Outcome.RESET)
+    for name in (10, 14, 18):
+        bench.quick(name, 1, 1, Outcome.FULL)
+        bench.at(bench.now / SECOND + 4)
+    assert not [line for line in bench.lines if "without verdict" in line]
+
+
+def test_jam_does_not_hold_back_a_warmed_server() -> None:
+    counts = []
+    for jam in (False, True):
+        bench = Bench(settings(fleet=1), [entry(10, came_up=1), entry(11)])
+        for name in range(60):
+            one = bench.at(0.2 * name).take(name, key=name + 1)
+            bench.at(0.2 * name + 0.12).end(one, Outcome.OK)
+        held = [bench.at(12).take(100 + name, key=name + 1, patience=9) for name in range(150)]
+        bench.at(15 if jam else 12.12)
+        for one in held:
+            if one.out:
+                bench.end(one, Outcome.OK)
+        start = len(bench.sent)
+        for name in range(400):
+            bench.end(bench.at(17 + 0.005 * name).take(300 + name, key=name + 1), Outcome.OK)
+        counts.append(bench.sent[start:].count(10))
+    assert counts[1] > 0.8 * counts[0] > 20, counts
+
+
+def test_sidecars_take_turns_at_a_fresh_server_by_their_number() -> None:
+    turns: list[set[int]] = []
+    for me in range(3):
+        given = settings(me=me, fall_window=SECOND, cold_for=100 * SECOND)
+        bench = Bench(given, [entry(10, came_up=1), entry(11)])
+        turns.append(set())
+        out = []
+        for step in range(550):
+            out.append(bench.at(step * 0.01 + 0.001).take(step, key=step + 1))
+            if bench.sent[-1] == 10:
+                turns[me].add(bench.now // SECOND)
+            if len(out) > 15:
+                bench.end(out.pop(0), Outcome.OK)
+    assert [sorted(seconds) for seconds in turns] == [[0, 3], [1, 4], [2, 5]]
+
+
+def test_started_stream_closes_a_trial_and_its_break_counts() -> None:
+    bench = Bench(settings(), [entry(10), entry(11)])
+    favourite(bench, 1)
+    bench.quick(1, 3, 1, Outcome.RESET)
+    for name in range(4, 8):
+        one = bench.at(2 * name).take(name, patience=60)
+        one.started(bench.at(2 * name + 0.1).now, 0)
+        bench.at(2 * name + 1.9)
+        one.ended(bench.now, 0, Outcome.RESET, 1_900_000, True)
+    check("stream", bench)
+
+
+def test_fresh_server_without_a_promised_share_is_still_ordered() -> None:
+    bench = Bench(settings(cold_from=0.0), [entry(10, came_up=1), entry(11)])
+    bench.take(1)
+    assert bench.sent == [11]
