--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -387,9 +387,8 @@
             if cost < least:
                 fallback, least = at, cost
         if fallback < 0 and order:
-            # Guards against all breakers refusing at once: no server's sickness, so the key's order holds, but
-            # those that answer, if late, come before those that fail, such as a zone cut off.
-            for _, at in sorted(order, key=lambda ranked: self.ill[ranked[1]] > ILL):
+            # Guards against all breakers refusing at once: no server's sickness, so the key's order holds.
+            for _, at in order:
                 if self.cold_room(now, at):
                     return at
         return fallback
