--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -26,7 +26,8 @@
 TARDY = 0.7                 # part of the agreed time from which a hop is tardy
 JAM = 0.4                   # share of tardy or queued hops that cuts what may be out
 ILL = 0.25                  # share of failures that opens a breaker
-COLD_PART = 0.7             # of what the rules let all sidecars together send to a cold server
+COLD_PART = 0.45             # of what the rules let all sidecars together send to a cold server
+GOLDEN = 0.6180339887498949  # its multiples fill the unit interval evenly, however many are taken
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
@@ -212,6 +213,8 @@
         self.calm = list(self.usual)
         self.samples = [0] * len(settings.tariffs)
         self.retries_left = 10.0
+        # The turns at fresh servers begin at a point of this sidecar's own, however many others there are.
+        self.turn = settings.me * GOLDEN % 1.0
         # How much may be out, how much could after the last cut, when that was, and the share of tardy hops.
         self.room = math.inf
         self.calm_room = math.inf
@@ -291,6 +294,7 @@
         """Take a submission; `until` is when its client gives up, a key of 0 means none."""
         one = Submission(self, name, tariff, key, retry, until)
         self.retries_left = min(10.0, self.retries_left + 0.2)
+        self.turn = (self.turn + GOLDEN) % 1.0
         if self.turned_away(one):
             one.give_up(now)
         else:
@@ -359,22 +363,27 @@
             return -1
         key = mix(one.key) if one.key else self.chance.bits() << 20
         tried = [hop.server for hop in one.hops]
+        tariff = self.settings.tariffs[one.tariff]
+        total = sum(self.scale[at] for at in self.ready) or 1.0
         order = []
+        cold = []
         foreign = self.foreign()
         for at in self.ready:
             if at in tried or bound is not None and not self.same_group(bound, at):
                 continue
-            weight = self.scale[at] * self.warmth(now, at)
+            if self.came_up[at] and self.warmth(now, at) < 1.0:
+                cold.append(at)
+                continue
+            weight = self.scale[at]
             if self.zone[at] != self.settings.zone:
                 weight *= foreign
             draw = (mix(key ^ self.salt[at]) + 1) / (MASK + 2)
             order.append((-math.log(draw) / weight, at))
         order.sort()
-        tariff = self.settings.tariffs[one.tariff]
-        total = sum(self.scale[at] for at in self.ready) or 1.0
+        turns = [] if tried else [at for at in cold if self.cold_turn(now, at, total)]
         fallback, least = -1, math.inf
-        for _, at in order:
-            if not self.admits(now, at, tariff.effect == Effect.UNREPEATABLE) or not self.cold_room(now, at):
+        for at in turns + [at for _, at in order]:
+            if not self.admits(now, at, tariff.effect == Effect.UNREPEATABLE):
                 continue
             fair = self.all_in_flight * self.scale[at] / total
             lag = self.lag_now(now, at)
@@ -386,11 +395,10 @@
             cost = (len(self.out[at]) + 1) * lag / self.scale[at]
             if cost < least:
                 fallback, least = at, cost
-        if fallback < 0 and order:
+        if fallback < 0:
             # Guards against all breakers refusing at once: no server's sickness, so the key's order holds.
-            for _, at in order:
-                if self.cold_room(now, at):
-                    return at
+            rest = [at for _, at in order] + [at for at in cold if self.cold_turn(now, at, total, 2.0)]
+            fallback = rest[0] if rest else -1
         return fallback
 
     def foreign(self) -> float:
@@ -414,24 +422,21 @@
         age = max(0, now - self.came_up[at])
         return min(1.0, max(0.01, start + (1.0 - start) * age / max(1, self.settings.cold_for)))
 
-    def cold_room(self, now: int, at: int) -> bool:
-        """A cold server takes from this sidecar only its part of what may be sent over any window."""
-        warmth = self.warmth(now, at)
-        if warmth >= 1.0:
-            return True
-        settings = self.settings
+    def cold_turn(self, now: int, at: int, total: float, times: float = 1.0) -> bool:
+        """Whether it is this submission's turn at a cold server.
+
+        Guards a cold server against popular keys and against many sidecars at once, whatever their number and
+        traffic: it is not in the order, and each sidecar sends it an even part of all that it takes.
+        """
+        limit = COLD_PART * self.settings.fall_multiple * self.warmth(now, at) * times
+        if (self.turn + self.salt[at] / MASK) % 1.0 >= limit * self.scale[at] / total:
+            return False
         sent = self.sent_cold[at]
-        while sent and sent[0] <= now - settings.fall_window:
+        while sent and sent[0] <= now - self.settings.fall_window:
             sent.popleft()
         # In the times of calm: in a jam usual times are mostly waiting, and would hold warmed servers back.
         usual = sum(self.calm) / len(self.calm)
-        budget = COLD_PART * settings.fall_multiple * warmth * settings.fall_window / usual
-        own = budget / settings.fleet
-        if own >= 1.0:
-            return len(sent) < int(own)
-        # Guards a cold server against one submission from each of many sidecars: they take turns by number.
-        turn = (now - self.came_up[at]) // settings.fall_window
-        return turn % settings.fleet == settings.me and len(sent) < max(1, int(budget / 2))
+        return len(sent) < max(1, int(limit * self.settings.fall_window / usual))
 
     # -- breakers
 
