--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -28,6 +28,8 @@
 ILL = 0.25                  # share of failures that opens a breaker
 COLD_PART = 0.45             # of what the rules let all sidecars together send to a cold server
 GOLDEN = 0.6180339887498949  # its multiples fill the unit interval evenly, however many are taken
+RECENT = 64                 # submissions among which a key is judged popular
+HOT = 1.0                   # times a server's fair part from which a key is spread
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
@@ -215,6 +217,9 @@
         self.retries_left = 10.0
         # The turns at fresh servers begin at a point of this sidecar's own, however many others there are.
         self.turn = settings.me * GOLDEN % 1.0
+        # The keys of the last submissions and how often each is among them.
+        self.recent: deque[int] = deque()
+        self.met: dict[int, int] = {}
         # How much may be out, how much could after the last cut, when that was, and the share of tardy hops.
         self.room = math.inf
         self.calm_room = math.inf
@@ -293,6 +298,8 @@
     def take(self, now: int, name: int, tariff: int, key: int, retry: bool, until: int) -> Submission:
         """Take a submission; `until` is when its client gives up, a key of 0 means none."""
         one = Submission(self, name, tariff, key, retry, until)
+        if key:
+            self.meet(key)
         self.retries_left = min(10.0, self.retries_left + 0.2)
         self.turn = (self.turn + GOLDEN) % 1.0
         if self.turned_away(one):
@@ -301,6 +308,15 @@
             one.go_on(now)
         return one
 
+    def meet(self, key: int) -> None:
+        self.recent.append(key)
+        self.met[key] = self.met.get(key, 0) + 1
+        if len(self.recent) > RECENT:
+            oldest = self.recent.popleft()
+            self.met[oldest] -= 1
+            if not self.met[oldest]:
+                del self.met[oldest]
+
     def turned_away(self, one: Submission) -> bool:
         """Close to the limit of what may be out, submissions are turned away by chance, cheap ones sooner."""
         if self.room == math.inf or self.all_in_flight == 0:
@@ -380,6 +396,13 @@
             draw = (mix(key ^ self.salt[at]) + 1) / (MASK + 2)
             order.append((-math.log(draw) / weight, at))
         order.sort()
+        if one.key and len(order) > 1 and not tried:
+            # Guards the first server of a popular key: a key that is more than one server's part of what this
+            # sidecar takes goes, by chance, to as many of the first in its order as it makes up for.
+            part = (self.met[one.key] - 1) / max(RECENT // 2, len(self.recent))
+            spread = math.ceil(part * len(order) * HOT)
+            if spread > 1:
+                order.insert(0, order.pop(self.chance.bits() % min(spread, len(order))))
         turns = [] if tried else [at for at in cold if self.cold_turn(now, at, total)]
         fallback, least = -1, math.inf
         for at in turns + [at for _, at in order]:
