--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -18,13 +18,15 @@
 
 FAILURE_THRESHOLD = 3
 COOLDOWN = 5_000_000
-LONGEST_COOLDOWN = 10_000_000
+LONGEST_COOLDOWN = 20_000_000
+TRIAL_PART = 0.25           # trials as a part of the hops that a server would get in calm
 HALF_OPEN_TRIALS = 1
 PASS_OVER_MARGIN = 1.25     # times a server's fair part of all that is out
 QUEUED = 3.0                # usual times from which a hop has met a queue
 STALL = 1.0                 # usual times from which a hop still out marks its server as stalled
 TARDY = 0.7                 # part of the agreed time from which a hop is tardy
 JAM = 0.4                   # share of tardy or queued hops that cuts what may be out
+GROWTH = 0.12               # how fast the limit rises, as a part of it for each usual time
 ILL = 0.25                  # share of failures that opens a breaker
 COLD_PART = 0.45             # of what the rules let all sidecars together send to a cold server
 GOLDEN = 0.6180339887498949  # its multiples fill the unit interval evenly, however many are taken
@@ -57,10 +59,10 @@
 
 
 class Hop:
-    __slots__ = ("at", "due", "server", "generation", "trial", "load", "out", "may_have_run", "judged",
+    __slots__ = ("at", "due", "server", "generation", "trial", "level", "out", "may_have_run", "judged",
                  "begun")
 
-    def __init__(self, at: int, due: int, server: int, generation: int, trial: bool, load: int) -> None:
+    def __init__(self, at: int, due: int, server: int, generation: int, trial: bool, level: float) -> None:
         self.at = at
         self.due = due
         self.server = server
@@ -70,7 +72,7 @@
         self.may_have_run = True
         self.judged = False
         self.begun = False
-        self.load = load
+        self.level = level
 
 
 class Submission:
@@ -216,11 +218,16 @@
         self.samples = [0] * len(settings.tariffs)
         self.retries_left = 10.0
         # The turns at fresh servers begin at a point of this sidecar's own, however many others there are.
-        self.turn = settings.me * GOLDEN % 1.0
+        self.turn = self.place = settings.me * GOLDEN % 1.0
+        self.gap = 0.0
+        self.taken_at = 0
         # The keys of the last submissions and how often each is among them.
         self.recent: deque[int] = deque()
         self.met: dict[int, int] = {}
         # How much may be out, how much could after the last cut, when that was, and the share of tardy hops.
+        self.level = 0.0
+        self.level_at = 0
+        self.span = sum(tariff.agreed for tariff in settings.tariffs) / max(1, len(settings.tariffs))
         self.room = math.inf
         self.calm_room = math.inf
         self.shrunk = 0
@@ -302,7 +309,10 @@
             self.meet(key)
         self.retries_left = min(10.0, self.retries_left + 0.2)
         self.turn = (self.turn + GOLDEN) % 1.0
-        if self.turned_away(one):
+        if self.taken_at:
+            self.gap += 0.1 * (now - self.taken_at - self.gap)
+        self.taken_at = now
+        if self.turned_away(now, one):
             one.give_up(now)
         else:
             one.go_on(now)
@@ -317,17 +327,26 @@
             if not self.met[oldest]:
                 del self.met[oldest]
 
-    def turned_away(self, one: Submission) -> bool:
+    def turned_away(self, now: int, one: Submission) -> bool:
         """Close to the limit of what may be out, submissions are turned away by chance, cheap ones sooner."""
-        if self.room == math.inf or self.all_in_flight == 0:
-            return False  # with nothing out there is nothing to protect, and turning away would teach nothing
+        if self.room == math.inf:
+            return False
         values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
         value = min(2.0, max(0.5, values[one.tariff] * len(values) / sum(values)))
         if one.retry:
             # Guards the room against submissions that come back when most of their agreed time has passed.
             value *= max(0.2, self.settings.tariffs[one.tariff].late_gain)
-        load = (self.all_in_flight + 1) / self.room
-        return self.chance.share() < (load - 1.0) / 0.25 + 1.0 / value
+        load = (self.level_now(now) + self.usual[one.tariff] / self.span) / self.room
+        return self.chance.share() < (load - 1.0) / 0.25 + min(4.0, 1.0 / value)
+
+    def level_now(self, now: int) -> float:
+        """How much is out, in the mean of about an agreed time.
+
+        Guards sidecars with little traffic, which have one hop out or none, against a limit in whole hops.
+        """
+        self.level += (self.all_in_flight - self.level) * (1.0 - math.exp((self.level_at - now) / self.span))
+        self.level_at = now
+        return self.level
 
     def judge_room(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
         """Let less be out while too many hops take long, more again while they do not.
@@ -338,23 +357,24 @@
         """
         if hop.at <= self.shrunk or hop.server not in self.ready:
             return
+        level = self.level_now(now)
         tardy = spent > TARDY * self.settings.tariffs[tariff].agreed
         self.tardy += 0.06 * (tardy - self.tardy)
         self.queued[hop.server] += 0.2 * ((spent > QUEUED * self.usual[tariff]) - self.queued[hop.server])
         middle = sorted(self.queued[at] for at in self.ready)[len(self.ready) // 2]
         if self.tardy > JAM or middle > JAM:
             self.shrunk = now
-            self.calm_room = 0.7 * min(self.room, max(self.all_in_flight + 1, hop.load))
+            self.calm_room = 0.7 * min(self.room, max(level, hop.level))
             if self.room == math.inf:
                 self.outlet.log(f"limit on: {self.tardy:.2f} of hops tardy, {middle:.2f} of those at the "
-                                f"middle server queued, {self.calm_room:.0f} may be out")
-            self.room = self.calm_room = max(2.0, self.calm_room)
+                                f"middle server queued, {self.calm_room:.1f} may be out")
+            self.room = self.calm_room = max(1.5 * self.usual[tariff] / self.span, self.calm_room)
             self.tardy = min(self.tardy, JAM / 2)
             self.queued = [share / 2 for share in self.queued]
-        elif not tardy and self.all_in_flight + 1 > self.room / 2:
-            self.room += 0.5 if self.room < self.calm_room else 1.0 / self.room
-        elif self.room < math.inf and self.tardy < 0.02 and self.all_in_flight * 4 < self.room:
-            self.outlet.log(f"limit off: {self.tardy:.2f} of hops tardy, {self.all_in_flight} out")
+        elif not tardy and level > self.room / 2:
+            self.room += min(0.25 * self.room, GROWTH * self.calm_room / self.room)
+        elif self.room < math.inf and self.tardy < 0.02 and level * 4 < self.room:
+            self.outlet.log(f"limit off: {self.tardy:.2f} of hops tardy, {level:.1f} out")
             self.room = math.inf
 
     def retry_in(self, one: Submission) -> int:
@@ -487,16 +507,21 @@
             # ended without a verdict, being taken for one that has been out since half-open began.
             self.since[at] = now
             self.trials[at] += 1
+        level = self.level_now(now) + self.usual[tariff] / self.span
         self.all_in_flight += 1
         if self.warmth(now, at) < 1.0:
             self.sent_cold[at].append(now)
         due = now + int(STALL * self.usual[tariff])
-        hop = Hop(now, due, at, self.generation[at], trial, self.all_in_flight)
+        hop = Hop(now, due, at, self.generation[at], trial, level)
         self.out[at].append(hop)
         return hop
 
     def trip(self, now: int, at: int, cause: str) -> None:
-        self.cooldown[at] = min(LONGEST_COOLDOWN, max(COOLDOWN, 2 * self.cooldown[at]))
+        # Guards a sick server against the trials of many sidecars that each have little for it in calm: they
+        # wait as long as their few submissions make up for it, and each somewhat longer by its number.
+        base = min(LONGEST_COOLDOWN, max(COOLDOWN, int(self.gap * len(self.ready) / TRIAL_PART)))
+        again = 2 if self.cooldown[at] else 1
+        self.cooldown[at] = int(base * again * (1.0 + (self.place + self.salt[at] / MASK) % 1.0 / 2))
         self.state[at] = OPEN
         self.since[at] = now
         self.generation[at] += 1
@@ -532,6 +557,7 @@
 
     def hop_ended(self, now: int, tariff: int, hop: Hop, outcome: Outcome, spent: int) -> None:
         self.out[hop.server].remove(hop)
+        self.level_now(now)
         self.all_in_flight -= 1
         if hop.begun:
             self.verdict(now, hop, outcome in (Outcome.ERROR, Outcome.RESET), "broken stream")
@@ -574,7 +600,9 @@
 
     def sample(self, now: int, tariff: int, at: int, spent: int) -> None:
         ratio = spent / self.usual[tariff]
-        self.lag[at] = self.lag_now(now, at) * 0.7 + min(ratio, 20.0) * 0.3
+        # The longer ago the last one, the more a sample counts: guards sidecars that seldom meet a server.
+        part = max(0.3, 1.0 - math.exp((self.lag_at[at] - now) / MEMORY)) if self.lag_at[at] else 1.0
+        self.lag[at] = self.lag_now(now, at) * (1.0 - part) + min(ratio, 20.0) * part
         self.lag_at[at] = now
         self.late[at] = spent > self.settings.tariffs[tariff].agreed
         # A quantile, moved a little by each answer: guards against a few stuck hops making all look late.
@@ -586,4 +614,5 @@
 
     def lag_now(self, now: int, at: int) -> float:
         """How much longer than usual this server takes; fades to 1 when nothing is heard of it."""
-        return 1.0 + (self.lag[at] - 1.0) * math.exp(-(now - self.lag_at[at]) / MEMORY)
+        memory = min(LONGEST_COOLDOWN, max(MEMORY, self.gap * len(self.ready)))
+        return 1.0 + (self.lag[at] - 1.0) * math.exp((self.lag_at[at] - now) / memory)
