--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -424,7 +424,7 @@
             if spread > 1:
                 order.insert(0, order.pop(self.chance.bits() % min(spread, len(order))))
         turns = [] if tried else [at for at in cold if self.cold_turn(now, at, total)]
-        fallback, least = -1, math.inf
+        fallback = -1
         for at in turns + [at for _, at in order]:
             if not self.admits(now, at, tariff.effect == Effect.UNREPEATABLE):
                 continue
@@ -435,9 +435,9 @@
             slow = lag > 2.0 and self.usual[one.tariff] * lag > tariff.agreed / 2
             if not crowded and not slow and not stalled:
                 return at
-            cost = (len(self.out[at]) + 1) * lag / self.scale[at]
-            if cost < least:
-                fallback, least = at, cost
+            if fallback < 0:
+                # Guards warm keys while all servers are slow: scattered, they would cost the fleet more work.
+                fallback = at
         if fallback < 0:
             # Guards against all breakers refusing at once: no server's sickness, so the key's order holds.
             rest = [at for _, at in order] + [at for at in cold if self.cold_turn(now, at, total, 2.0)]
