--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -220,6 +220,7 @@
         # The turns at fresh servers begin at a point of this sidecar's own, however many others there are.
         self.turn = self.place = settings.me * GOLDEN % 1.0
         self.gap = 0.0
+        self.taken = 0
         self.taken_at = 0
         # The keys of the last submissions and how often each is among them.
         self.recent: deque[int] = deque()
@@ -309,8 +310,9 @@
             self.meet(key)
         self.retries_left = min(10.0, self.retries_left + 0.2)
         self.turn = (self.turn + GOLDEN) % 1.0
-        if self.taken_at:
-            self.gap += 0.1 * (now - self.taken_at - self.gap)
+        if self.taken:
+            self.gap += max(0.1, 1.0 / self.taken) * (now - self.taken_at - self.gap)
+        self.taken += 1
         self.taken_at = now
         if self.turned_away(now, one):
             one.give_up(now)
@@ -336,7 +338,7 @@
         if one.retry:
             # Guards the room against submissions that come back when most of their agreed time has passed.
             value *= max(0.2, self.settings.tariffs[one.tariff].late_gain)
-        load = (self.level_now(now) + self.usual[one.tariff] / self.span) / self.room
+        load = (min(self.level_now(now), self.all_in_flight) + self.usual[one.tariff] / self.span) / self.room
         return self.chance.share() < (load - 1.0) / 0.25 + min(4.0, 1.0 / value)
 
     def level_now(self, now: int) -> float:
@@ -519,9 +521,9 @@
     def trip(self, now: int, at: int, cause: str) -> None:
         # Guards a sick server against the trials of many sidecars that each have little for it in calm: they
         # wait as long as their few submissions make up for it, and each somewhat longer by its number.
-        base = min(LONGEST_COOLDOWN, max(COOLDOWN, int(self.gap * len(self.ready) / TRIAL_PART)))
-        again = 2 if self.cooldown[at] else 1
-        self.cooldown[at] = int(base * again * (1.0 + (self.place + self.salt[at] / MASK) % 1.0 / 2))
+        wait = max(COOLDOWN, self.gap * len(self.ready) / TRIAL_PART) * (2 if self.cooldown[at] else 1)
+        apart = 1.0 + (self.place + self.salt[at] / MASK) % 1.0 / 2
+        self.cooldown[at] = int(min(LONGEST_COOLDOWN, wait) * apart)
         self.state[at] = OPEN
         self.since[at] = now
         self.generation[at] += 1
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -36,6 +36,7 @@
     """An outlet that notes every decision; `at` moves the clock and delivers the wakes that are due."""
 
     def __init__(self, given: Settings, servers: list[Entry], seed: int = 7) -> None:
+        self.given, self.servers = given, servers
         self.now = 0
         self.lines: list[str] = []
         self.wakes: list[tuple[int, int, object]] = []
@@ -84,9 +85,18 @@
 
     def end(self, one: Submission, outcome: Outcome, hop: int = -1) -> None:
         """One hop, the last unless named, ends; only a success finishes the submission."""
+        if not one.hops:
+            return
         number = hop % len(one.hops)
         one.ended(self.now, number, outcome, self.now - one.hops[number].at, outcome == Outcome.OK)
 
+    def alike(self, key: int, count: int) -> list[int]:
+        """Keys that go where the key goes, so that none of them is popular."""
+        fresh = Bench(self.given, self.servers)
+        for other in range(1, 100 * count):
+            fresh.end(fresh.at(other).take(other, other), Outcome.OK)
+        return [other + 1 for other, server in enumerate(fresh.sent) if server == fresh.sent[key - 1]][:count]
+
     def quick(self, first: int, count: int, key: int, outcome: Outcome, every: float = 0.1) -> None:
         """Submissions one after the other, each ended 10 ms after its first hop, later hops answered."""
         start = self.now / SECOND
