--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -361,7 +361,8 @@
             return
         level = self.level_now(now)
         tardy = spent > TARDY * self.settings.tariffs[tariff].agreed
-        self.tardy += 0.06 * (tardy - self.tardy)
+        # The fewer submissions, the more each hop counts: guards idle sidecars against learning of a jam too late.
+        self.tardy += min(0.2, max(0.06, self.gap / MEMORY)) * (tardy - self.tardy)
         self.queued[hop.server] += 0.2 * ((spent > QUEUED * self.usual[tariff]) - self.queued[hop.server])
         middle = sorted(self.queued[at] for at in self.ready)[len(self.ready) // 2]
         if self.tardy > JAM or middle > JAM:
