--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -238,7 +238,7 @@
         for name in range(4):
             bench.end(bench.at(0.1 * name + 0.001 * me).take(name, key=1), Outcome.OK)
         times += [at for at, server in enumerate(bench.sent) if server == 10]
-    # A part of 0.45 x 2.5 x 0.2 of one server in ten (2.25), in each round of submissions.
+    # A part of 0.55 x 2.5 x 0.2 of one server in ten (2.75), in each round of submissions.
     assert [times.count(at) for at in range(4)] == [3, 3, 3, 3]
 
 
