--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -10,6 +10,7 @@
 import math
 from collections import deque
 from collections.abc import Sequence
+from heapq import heapify, heappop, nsmallest
 
 from .interface import Effect, Entry, Group, Listing, Outcome, Outlet, Phase, Settings
 
@@ -222,9 +223,10 @@
         self.gap = 0.0
         self.taken = 0
         self.taken_at = 0
-        # The keys of the last submissions and how often each is among them.
+        # The keys of the last submissions, how often each is among them, and their draws of the servers.
         self.recent: deque[int] = deque()
         self.met: dict[int, int] = {}
+        self.draws: dict[int, list[float]] = {}
         # How much may be out, how much could after the last cut, when that was, and the share of tardy hops.
         self.level = 0.0
         self.level_at = 0
@@ -261,6 +263,7 @@
         for entry in entries:
             self.note(now, entry)
         self.ready = [at for at, phase in enumerate(self.phase) if phase == Phase.READY]
+        self.draws.clear()
 
     def note(self, now: int, entry: Entry) -> None:
         at = self.index.get(entry.server)
@@ -328,6 +331,7 @@
             self.met[oldest] -= 1
             if not self.met[oldest]:
                 del self.met[oldest]
+                self.draws.pop(oldest, None)
 
     def turned_away(self, now: int, one: Submission) -> bool:
         """Close to the limit of what may be out, submissions are turned away by chance, cheap ones sooner."""
@@ -361,7 +365,7 @@
             return
         level = self.level_now(now)
         tardy = spent > TARDY * self.settings.tariffs[tariff].agreed
-        # The fewer submissions, the more each hop counts: guards idle sidecars against learning of a jam too late.
+        # The fewer submissions, the more each hop counts: guards idle sidecars against learning too late.
         self.tardy += min(0.2, max(0.06, self.gap / MEMORY)) * (tardy - self.tardy)
         self.queued[hop.server] += 0.2 * ((spent > QUEUED * self.usual[tariff]) - self.queued[hop.server])
         middle = sorted(self.queued[at] for at in self.ready)[len(self.ready) // 2]
@@ -395,19 +399,18 @@
     # -- choosing a server
 
     def pick(self, now: int, one: Submission) -> int:
-        """The first in the key's order that admits and is not crowded; else the least crowded; else -1."""
+        """The first in the key's order that admits and is not passed over, else the first that admits."""
         try:
             bound = one.bound(now)
         except PermissionError:
             return -1
-        key = mix(one.key) if one.key else self.chance.bits() << 20
         tried = [hop.server for hop in one.hops]
         tariff = self.settings.tariffs[one.tariff]
         total = sum(self.scale[at] for at in self.ready) or 1.0
         order = []
         cold = []
         foreign = self.foreign()
-        for at in self.ready:
+        for at, draw in zip(self.ready, self.draws_of(one.key)):
             if at in tried or bound is not None and not self.same_group(bound, at):
                 continue
             if self.came_up[at] and self.warmth(now, at) < 1.0:
@@ -416,19 +419,22 @@
             weight = self.scale[at]
             if self.zone[at] != self.settings.zone:
                 weight *= foreign
-            draw = (mix(key ^ self.salt[at]) + 1) / (MASK + 2)
-            order.append((-math.log(draw) / weight, at))
-        order.sort()
+            order.append((draw / weight, at))
+        heapify(order)  # most hops need no more than the first
         if one.key and len(order) > 1 and not tried:
             # Guards the first server of a popular key: a key that is more than one server's part of what this
             # sidecar takes goes, by chance, to as many of the first in its order as it makes up for.
             part = (self.met[one.key] - 1) / max(RECENT // 2, len(self.recent))
             spread = math.ceil(part * len(order) * HOT)
             if spread > 1:
-                order.insert(0, order.pop(self.chance.bits() % min(spread, len(order))))
+                chosen = nsmallest(spread, order)[self.chance.bits() % min(spread, len(order))]
+                order[order.index(chosen)] = (0.0, chosen[1])
+                heapify(order)
         turns = [] if tried else [at for at in cold if self.cold_turn(now, at, total)]
-        fallback = -1
-        for at in turns + [at for _, at in order]:
+        fallback = first = -1
+        while turns or order:
+            at = turns.pop(0) if turns else heappop(order)[1]
+            first = at if first < 0 and at not in cold else first
             if not self.admits(now, at, tariff.effect == Effect.UNREPEATABLE):
                 continue
             fair = self.all_in_flight * self.scale[at] / total
@@ -443,10 +449,20 @@
                 fallback = at
         if fallback < 0:
             # Guards against all breakers refusing at once: no server's sickness, so the key's order holds.
-            rest = [at for _, at in order] + [at for at in cold if self.cold_turn(now, at, total, 2.0)]
-            fallback = rest[0] if rest else -1
+            rest = [at for at in cold if self.cold_turn(now, at, total, 2.0)]
+            fallback = first if first >= 0 or not rest else rest[0]
         return fallback
 
+    def draws_of(self, key: int) -> list[float]:
+        """The key's draw of each ready server, to be held against its weight; the least comes first."""
+        draws = self.draws.get(key)
+        if draws is None:
+            seed = mix(key) if key else self.chance.bits() << 20
+            draws = [-math.log((mix(seed ^ self.salt[at]) + 1) / (MASK + 2)) for at in self.ready]
+            if key in self.met:
+                self.draws[key] = draws
+        return draws
+
     def foreign(self) -> float:
         """What a server of another zone counts for: little, until lateness costs more than crossing does."""
         price = self.settings.crossing_price
