--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -449,7 +449,7 @@
                 fallback = at
         if fallback < 0:
             # Guards against all breakers refusing at once: no server's sickness, so the key's order holds.
-            rest = [at for at in cold if self.cold_turn(now, at, total, 2.0)]
+            rest = [at for at in cold if self.cold_turn(now, at, total, 1.4)]
             fallback = first if first >= 0 or not rest else rest[0]
         return fallback
 
