--- a/pumicepath/__init__.py
+++ b/pumicepath/__init__.py
@@ -1,1 +1,3 @@
 """pumicepath: a client-side load balancer, one sidecar beside each calling process."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/pumicepath/__main__.py
@@ -0,0 +1,3 @@
+from .command import main
+
+main(prog_name="pumicepath")
--- /dev/null
+++ b/pumicepath/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""The list of servers and the watch on it, without sockets."""
--- /dev/null
+++ b/pumicepath/discovery/roster.py
@@ -0,0 +1,83 @@
+"""Discovery's lines as entries of the list, and the addresses that belong to them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from hashlib import blake2b
+from typing import Any, NamedTuple
+
+from ..interface import Entry, Phase
+
+PHASES = {"active": Phase.READY, "leaving": Phase.DRAINING, "left": Phase.GONE}
+
+
+class BadList(Exception):
+    """Discovery answered with something that is no list."""
+
+
+class Named(int):
+    """A number that every sidecar derives alike from a name, and that is printed as the name."""
+
+    name: str
+
+    def __new__(cls, name: str) -> Named:
+        made = super().__new__(cls, stable(name))
+        made.name = name
+        return made
+
+    def __format__(self, form: str) -> str:
+        return self.name
+
+
+def stable(name: str) -> int:
+    """A number above 0 that is the same at every sidecar and after every restart."""
+    return int.from_bytes(blake2b(name.encode("utf-8", "replace"), digest_size=8).digest()) | 1
+
+
+class Address(NamedTuple):
+    host: str
+    port: int
+
+
+def address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise BadList(f"{text!r} is no address")
+    return Address(host.strip("[]"), int(port))
+
+
+class Update(NamedTuple):
+    version: int
+    whole: bool
+    entries: list[Entry]
+
+
+class Roster:
+    """What the list has said so far: addresses, and starts by the sidecar's own clock."""
+
+    def __init__(self, zones: Sequence[str], since_unix_ms: Callable[[int], int]) -> None:
+        self.zones = {name: at for at, name in enumerate(zones)}
+        self.since_unix_ms = since_unix_ms
+        self.addresses: dict[int, Address] = {}
+        self.starts: dict[str, tuple[int, int]] = {}
+
+    def read(self, data: Any) -> Update:
+        try:
+            lines = data["hosts"]
+            update = Update(int(data["seq"]), bool(data["whole"]), [self.entry(line) for line in lines])
+        except (KeyError, TypeError, ValueError) as trouble:
+            raise BadList(f"{type(trouble).__name__}: {trouble}") from trouble
+        self.addresses.update(
+            (entry.server, address(line["dial"])) for entry, line in zip(update.entries, lines)
+            if entry.phase != Phase.GONE)
+        return update
+
+    def entry(self, line: dict[str, Any]) -> Entry:
+        name, born = str(line["host"]), int(line.get("born_ms", 0))
+        kept = self.starts.get(name)
+        if kept is None or kept[0] != born:
+            # Once for each start: guards against a clock that was set since, which would look like a new one.
+            kept = self.starts[name] = (born, self.since_unix_ms(born) if born > 0 else 0)
+        zone = self.zones.setdefault(str(line.get("site", "")), len(self.zones))
+        cell, share = int(line.get("block", 0)), float(line.get("share", 1.0))
+        return Entry(Named(name), zone, cell, PHASES[line["health"]], share, kept[1])
--- /dev/null
+++ b/pumicepath/discovery/watch.py
@@ -0,0 +1,42 @@
+"""The watch on the list: what to ask next, and what an answer means."""
+
+from __future__ import annotations
+
+import json
+
+from ..http1 import writing
+from ..http1.messages import Response
+from ..http1.parsing import ResponseParser
+from .roster import BadList, Roster, Update
+
+MOST_LIST = 4 * 1024 * 1024
+LONGEST_WAIT_MS = 60_000
+
+
+class Watch:
+    """One watch; `parser` takes the bytes of each answer, `restart` begins on a new connection."""
+
+    def __init__(self, roster: Roster, host: str, version: int, wait_us: int) -> None:
+        self.roster = roster
+        self.host = host
+        self.version = version
+        self.wait_ms = max(1, min(LONGEST_WAIT_MS, wait_us // 1000))
+        self.restart()
+
+    def restart(self) -> None:
+        """A new connection: whatever came on the old one no longer counts."""
+        self.parser = ResponseParser(MOST_LIST)
+
+    def request(self) -> bytes:
+        target = f"/discovery/hosts?since={self.version}&timeout_ms={self.wait_ms}"
+        return writing.request("GET", target, [("Host", self.host)])
+
+    def update(self, response: Response) -> Update:
+        if response.status != 200:
+            raise BadList(f"answered {response.status}")
+        try:
+            update = self.roster.read(json.loads(response.body))
+        except ValueError as trouble:
+            raise BadList(str(trouble)) from trouble
+        self.version = update.version
+        return update
--- /dev/null
+++ b/pumicepath/http1/messages.py
@@ -0,0 +1,61 @@
+"""Requests and responses as they were read, and what is wrong with those that were not."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+# What concerns one connection only and must not be passed on (RFC 9110, 7.6.1).
+HOP_BY_HOP = frozenset((
+    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+    "trailer", "transfer-encoding", "upgrade", "content-length", "expect",
+))
+
+
+class Malformed(Exception):
+    """The peer does not speak HTTP/1.1 as it should; `status` is the answer that says so."""
+
+    def __init__(self, status: int, what: str) -> None:
+        super().__init__(what)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Message:
+    minor: int = 1
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: bytes = b""
+
+    def all(self, name: str) -> list[str]:
+        name = name.lower()
+        return [value for key, value in self.headers if key.lower() == name]
+
+    def header(self, name: str) -> str:
+        """The first header of that name, or nothing."""
+        found = self.all(name)
+        return found[0] if found else ""
+
+    def tokens(self, name: str) -> list[str]:
+        parts = ",".join(self.all(name)).split(",")
+        return [part.strip().lower() for part in parts if part.strip()]
+
+    def keeps(self) -> bool:
+        """Whether the peer goes on with the connection."""
+        tokens = self.tokens("Connection")
+        return "close" not in tokens and (self.minor > 0 or "keep-alive" in tokens)
+
+    def passed_on(self) -> list[tuple[str, str]]:
+        """The headers that are not the connection's own."""
+        own = HOP_BY_HOP.union(self.tokens("Connection"))
+        return [(name, value) for name, value in self.headers if name.lower() not in own]
+
+
+@dataclass(slots=True)
+class Request(Message):
+    method: str = ""
+    target: str = ""
+
+
+@dataclass(slots=True)
+class Response(Message):
+    status: int = 0
+    until_close: bool = False
--- /dev/null
+++ b/pumicepath/http1/parsing.py
@@ -0,0 +1,240 @@
+"""Parsers as state machines: bytes go into their ring, whole messages come out."""
+
+from __future__ import annotations
+
+import re
+from enum import IntEnum
+
+from .messages import Malformed, Message, Request, Response
+from .ring import Ring
+
+MOST_HEAD = 16 * 1024
+MOST_HEADERS = 100
+MOST_BODY = 64 * 1024
+TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+TARGET = re.compile(r"[!-~]+")
+VALUE = re.compile(r"[\t -~\x80-\xff]*")
+VERSION = re.compile(r"HTTP/1\.([0-9])")
+LENGTH = re.compile(r"[0-9]{1,15}")
+CHUNK = re.compile(r"([0-9A-Fa-f]{1,8})[ \t]*(;[\t -~\x80-\xff]*)?")
+
+
+class Step(IntEnum):
+    START = 0
+    HEADERS = 1
+    LENGTH = 2
+    CHUNK_SIZE = 3
+    CHUNK_DATA = 4
+    CHUNK_END = 5
+    TRAILERS = 6
+    CLOSE = 7
+
+
+class Parser:
+    """What requests and responses share; `next` gives a message once its last byte is in the ring."""
+
+    def __init__(self, most_body: int = MOST_BODY) -> None:
+        self.most_body = most_body
+        self.ring = Ring(MOST_HEAD + most_body)
+        self.step = Step.START
+        self.message: Message = Message()
+        self.parts: list[bytes] = []
+        self.left = 0
+        self.got = 0
+        self.head = 0
+        self.scanned = 0
+        self.ended = False
+
+    def feed(self, data: bytes) -> None:
+        if self.ring.put(data) < len(data):
+            raise Malformed(413, "more bytes than a message may have")
+
+    def end(self) -> None:
+        """The peer has ended its sending."""
+        self.ended = True
+
+    def idle(self) -> bool:
+        """Whether no byte of a next message has come."""
+        return self.step == Step.START and not len(self.ring)
+
+    def line(self) -> str | None:
+        """The next line without its end, or None while it is not whole."""
+        at = self.ring.find(b"\n", self.scanned)
+        self.head += (at + 1 if at >= 0 else len(self.ring)) - self.scanned
+        if self.head > MOST_HEAD:
+            raise Malformed(431, f"head or trailers of more than {MOST_HEAD} bytes")
+        if at < 0:
+            self.scanned = len(self.ring)
+            return None
+        self.scanned = 0
+        raw = self.ring.take(at + 1)
+        if not raw.endswith(b"\r\n"):
+            raise Malformed(400, "line that does not end in CR LF")
+        return raw[:-2].decode("latin-1")
+
+    def next(self) -> Message | None:
+        while True:
+            if self.step == Step.LENGTH or self.step == Step.CHUNK_DATA:
+                piece = self.ring.take(min(self.left, len(self.ring)))
+                self.parts.append(piece)
+                self.left -= len(piece)
+                if self.left:
+                    return None
+                if self.step == Step.LENGTH:
+                    return self.whole()
+                self.step = Step.CHUNK_END
+            elif self.step == Step.CLOSE:
+                piece = self.ring.take(len(self.ring))
+                self.grow(len(piece))
+                self.parts.append(piece)
+                return self.whole() if self.ended else None
+            else:
+                line = self.line()
+                if line is None:
+                    return None
+                done = self.take_line(line)
+                if done is not None:
+                    return done
+
+    def take_line(self, line: str) -> Message | None:
+        if self.step == Step.START:
+            if line:
+                self.message = self.start(line)
+                self.step = Step.HEADERS
+        elif self.step == Step.HEADERS:
+            if line:
+                self.message.headers.append(self.field(line))
+                if len(self.message.headers) > MOST_HEADERS:
+                    raise Malformed(431, f"more than {MOST_HEADERS} headers")
+            else:
+                return self.framed()
+        elif self.step == Step.CHUNK_SIZE:
+            size = CHUNK.fullmatch(line)
+            if size is None:
+                raise Malformed(400, "malformed size of a chunk")
+            self.left = int(size[1], 16)
+            self.grow(self.left)
+            self.step = Step.CHUNK_DATA if self.left else Step.TRAILERS
+        elif self.step == Step.CHUNK_END:
+            if line:
+                raise Malformed(400, "chunk longer than its size")
+            self.step = Step.CHUNK_SIZE
+        elif line:
+            self.field(line)
+        else:
+            return self.whole()
+        return None
+
+    def grow(self, count: int) -> None:
+        self.got += count
+        if self.got > self.most_body:
+            raise Malformed(413, f"body of more than {self.most_body} bytes")
+
+    @staticmethod
+    def field(line: str) -> tuple[str, str]:
+        name, colon, value = line.partition(":")
+        value = value.strip(" \t")
+        if not colon or not TOKEN.fullmatch(name) or not VALUE.fullmatch(value):
+            raise Malformed(400, "malformed header")
+        return name, value
+
+    def framed(self) -> Message | None:
+        """The head is whole: choose how the body ends."""
+        message = self.message
+        codings, lengths = message.tokens("Transfer-Encoding"), set(message.tokens("Content-Length"))
+        if self.bodiless():
+            return self.whole()
+        if message.all("Transfer-Encoding"):
+            if codings != ["chunked"]:
+                raise Malformed(501, "transfer coding other than chunked")
+            if message.all("Content-Length") or not message.minor:
+                # Guards against two readers of one connection that disagree on where a message ends.
+                raise Malformed(400, "chunked body with a length or in HTTP/1.0")
+            self.step = Step.CHUNK_SIZE
+        elif message.all("Content-Length"):
+            length = lengths.pop() if len(lengths) == 1 else ""
+            if not LENGTH.fullmatch(length):
+                raise Malformed(400, "malformed length")
+            self.left = int(length)
+            self.grow(self.left)
+            self.step = Step.LENGTH
+        elif self.closes():
+            self.step = Step.CLOSE
+        else:
+            return self.whole()
+        return None
+
+    def whole(self) -> Message:
+        message = self.message
+        message.body = b"".join(self.parts)
+        self.step = Step.START
+        self.parts = []
+        self.got = self.head = self.left = 0
+        return message
+
+    def start(self, line: str) -> Message:
+        raise NotImplementedError
+
+    def bodiless(self) -> bool:
+        return False
+
+    def closes(self) -> bool:
+        return False
+
+    @staticmethod
+    def minor(version: str) -> int:
+        known = VERSION.fullmatch(version)
+        if known is None:
+            raise Malformed(505, "not HTTP/1")
+        return int(known[1])
+
+
+class RequestParser(Parser):
+    def start(self, line: str) -> Message:
+        words = line.split(" ")
+        if len(words) != 3 or not TOKEN.fullmatch(words[0]) or not TARGET.fullmatch(words[1]):
+            raise Malformed(400, "malformed request line")
+        return Request(minor=self.minor(words[2]), method=words[0], target=words[1])
+
+    def next(self) -> Request | None:
+        message = super().next()
+        if message is None:
+            return None
+        assert isinstance(message, Request)
+        if message.minor and len(message.all("Host")) != 1:
+            raise Malformed(400, "not one Host header")
+        return message
+
+    def awaited(self) -> bool:
+        """Whether the client holds its body back until it is told to go on."""
+        return (self.step in (Step.LENGTH, Step.CHUNK_SIZE) and not self.parts
+                and "100-continue" in self.message.tokens("Expect"))
+
+
+class ResponseParser(Parser):
+    method = "GET"
+
+    def start(self, line: str) -> Message:
+        version, _, rest = line.partition(" ")
+        code = rest[:3]
+        if not re.fullmatch(r"[1-5][0-9]{2}", code) or rest[3:4] not in ("", " "):
+            raise Malformed(502, "malformed status line")
+        return Response(minor=self.minor(version), status=int(code))
+
+    def next(self) -> Response | None:
+        while True:
+            message = super().next()
+            if message is None:
+                return None
+            assert isinstance(message, Response)
+            if message.status >= 200:
+                return message
+
+    def bodiless(self) -> bool:
+        status = self.message.status if isinstance(self.message, Response) else 0
+        return status < 200 or status in (204, 304) or self.method == "HEAD"
+
+    def closes(self) -> bool:
+        assert isinstance(self.message, Response)
+        self.message.until_close = True
+        return True
--- /dev/null
+++ b/pumicepath/http1/ring.py
@@ -0,0 +1,85 @@
+"""A ring buffer for one direction of a connection; it grows by doubling up to its limit."""
+
+from __future__ import annotations
+
+from ..invariants import must
+
+FIRST = 2048
+
+
+class Ring:
+    __slots__ = ("limit", "store", "view", "head", "size")
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.head = 0
+        self.size = 0
+        self.resize(min(FIRST, limit))
+
+    def __len__(self) -> int:
+        return self.size
+
+    def resize(self, capacity: int) -> None:
+        kept = self.peek(self.size) if self.size else b""
+        self.store = bytearray(capacity)
+        self.store[:len(kept)] = kept
+        self.view = memoryview(self.store)
+        self.head = 0
+
+    def room(self) -> memoryview:
+        """Where the next bytes may be written, in one piece; empty only when the limit is reached."""
+        if self.size == len(self.store) < self.limit:
+            self.resize(min(2 * len(self.store), self.limit))
+        elif not self.size:
+            self.head = 0
+        tail = (self.head + self.size) % len(self.store)
+        if self.size == len(self.store):
+            return self.view[:0]
+        return self.view[tail:self.head] if tail < self.head else self.view[tail:]
+
+    def wrote(self, count: int) -> None:
+        must(0 <= count <= len(self.store) - self.size, "ring overrun")
+        self.size += count
+
+    def put(self, data: bytes | memoryview) -> int:
+        """Store as much of the data as the limit allows, and tell how much that was."""
+        done = 0
+        while done < len(data):
+            room = self.room()
+            count = min(len(room), len(data) - done)
+            if not count:
+                break
+            room[:count] = data[done:done + count]
+            self.wrote(count)
+            done += count
+        return done
+
+    def data(self) -> memoryview:
+        """The oldest bytes held, in one piece."""
+        return self.view[self.head:min(self.head + self.size, len(self.store))]
+
+    def peek(self, count: int) -> bytes:
+        first = self.store[self.head:min(self.head + count, len(self.store))]
+        return bytes(first + self.store[:count - len(first)])
+
+    def take(self, count: int) -> bytes:
+        taken = self.peek(count)
+        self.drop(count)
+        return taken
+
+    def drop(self, count: int) -> None:
+        must(0 <= count <= self.size, "ring underrun")
+        self.size -= count
+        self.head = (self.head + count) % len(self.store)
+        if not self.size and len(self.store) > FIRST:
+            self.resize(FIRST)  # guards the memory limit against many idle connections that once were busy
+
+    def find(self, byte: bytes, start: int) -> int:
+        """Where the byte first stands from `start` on, counted from the oldest; -1 if it does not."""
+        first = min(self.size, len(self.store) - self.head)
+        if start < first:
+            at = self.store.find(byte, self.head + start, self.head + first)
+            if at >= 0:
+                return at - self.head
+        at = self.store.find(byte, max(0, start - first), self.size - first)
+        return at + first if at >= 0 else -1
--- /dev/null
+++ b/pumicepath/http1/writing.py
@@ -0,0 +1,30 @@
+"""Messages as bytes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 413: "Content Too Large",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+    502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+}
+
+
+def lines(first: str, headers: Iterable[tuple[str, str]], body: bytes) -> bytes:
+    head = [first, *(f"{name}: {value}" for name, value in headers), "", ""]
+    return "\r\n".join(head).encode("latin-1") + body
+
+
+def request(method: str, target: str, headers: list[tuple[str, str]], body: bytes = b"") -> bytes:
+    if body or method not in ("GET", "HEAD"):
+        headers = [*headers, ("Content-Length", str(len(body)))]
+    return lines(f"{method} {target} HTTP/1.1", headers, body)
+
+
+def response(status: int, headers: list[tuple[str, str]], body: bytes, keep: bool) -> bytes:
+    framing = [("Content-Length", str(len(body)))]
+    if not keep:
+        framing.append(("Connection", "close"))
+    return lines(f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", [*headers, *framing], body)
--- a/pumicepath/wirehost/settings.py
+++ b/pumicepath/settings.py
@@ -1,11 +1,11 @@
-"""Decoding of the settings an instance is born with, once, into what the decisions read."""
+"""Decoding of the settings a sidecar is born with, once, into what the decisions and their hosts read."""
 
 from __future__ import annotations
 
 import math
 from typing import Any
 
-from ..interface import Effect, Group, Settings, Tariff
+from .interface import Effect, Group, Settings, Tariff
 
 EFFECTS = {
     "idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED, "at_most_once": Effect.UNREPEATABLE,
--- /dev/null
+++ b/pumicepath/sidecar/config.py
@@ -0,0 +1,81 @@
+"""What a sidecar is told at its start."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ..discovery.roster import Address, BadList, address
+from ..interface import Settings
+from ..settings import decode
+
+KEPT_BACK = 64              # descriptors for the listener, discovery, files and what the runtime opens
+OWN_MB = 56                 # memory before the first connection, with room for the list and a burst of bodies
+CONNECTION_KB = 112         # a connection with its thread and buffers, measured with room to spare
+
+
+class BadConfig(Exception):
+    """The configuration can't be used; the text says why in one line."""
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    connections: int
+    known: Any
+    zones: tuple[str, ...]
+    tariffs: dict[str, int]
+    settings: Settings
+    pushed: bool
+    idle: int
+    dial: int
+
+    @property
+    def from_clients(self) -> int:
+        return self.connections * 9 // 20
+
+    @property
+    def to_servers(self) -> int:
+        return self.connections - self.from_clients
+
+
+def read(path: str) -> Config:
+    try:
+        return config(json.loads(Path(path).read_bytes()))
+    except OSError as trouble:
+        raise BadConfig(f"{path}: {trouble.strerror}") from trouble
+    except KeyError as trouble:
+        raise BadConfig(f"{path}: {trouble} is missing") from trouble
+    except (ValueError, TypeError, AttributeError, BadList) as trouble:
+        raise BadConfig(f"{path}: {trouble}".replace("\n", " ")) from trouble
+
+
+def config(told: dict[str, Any]) -> Config:
+    info = told["settings"]
+    limits, allowed = told.get("limits", {}), info.get("policyLimits", {})
+    memory = (float(limits.get("memory_mb", 192)) - OWN_MB) * 1024 / CONNECTION_KB
+    connections = int(min(limits.get("sockets", 1024) - KEPT_BACK, memory))
+    if connections < 8:
+        raise BadConfig("limits leave no room for connections")
+    names = [str(entry["name"]) for entry in info["tariffs"]]
+    if not names:
+        raise BadConfig("no tariffs in the settings")
+    return Config(
+        name=str(told.get("name", "")),
+        listen=address(told["listen"]),
+        discovery=address(told["discovery"]),
+        seed=int(str(told.get("seed", "0")), 16),
+        connections=connections,
+        known=told.get("known") or {"seq": 0, "whole": True, "hosts": []},
+        zones=tuple(info.get("dcs", [])),
+        tariffs={name: at for at, name in enumerate(names)},
+        settings=decode(info),
+        pushed=info.get("membershipMode") != "on_request",
+        idle=int(allowed.get("connIdleS", 30.0) * 1e6),
+        dial=int(allowed.get("dialTimeoutS", 1.0) * 1e6),
+    )
--- /dev/null
+++ b/pumicepath/sidecar/exchange.py
@@ -0,0 +1,72 @@
+"""A submission as its client sent it, and its hops; what each part of the sidecar may ask of the others."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from ..http1.messages import Request, Response
+from ..interface import Outcome, Wakeable
+from ..invariants import must
+from ..logic import Submission
+from . import answers
+
+
+class Answerer(Protocol):
+    def answer(self, answer: answers.Answer, keep: bool) -> None: ...
+
+
+class Carrier(Protocol):
+    hop: Hop | None
+    dead: bool
+
+    def kill(self) -> None:
+        """Nothing goes out on it from now on."""
+
+
+class Owner(Protocol):
+    def returned(self, link: Carrier, outcome: Outcome, response: Response | None, reuse: bool) -> None:
+        """A link's hop has ended; the link is ready for another, or it has broken."""
+
+    def end(self, now: int, hop: Hop, outcome: Outcome) -> None: ...
+
+    def answer(self, exchange: Exchange, answer: answers.Answer) -> None: ...
+
+    def wake(self, at: int, whom: Wakeable) -> None: ...
+
+
+class Exchange:
+    __slots__ = ("number", "client", "request", "until", "owner", "handle", "hops", "answered")
+
+    def __init__(self, client: Answerer, request: Request, until: int, owner: Owner) -> None:
+        self.number = 0
+        self.client = client
+        self.request = request
+        self.until = until
+        self.owner = owner
+        self.handle: Submission | None = None
+        self.hops: list[Hop] = []
+        self.answered = False
+
+    def woke(self, now: int) -> None:
+        """Its patience is over: answers for servers that say nothing."""
+        for hop in self.hops:
+            self.owner.end(now, hop, Outcome.TIMEOUT)
+        if not must(self.answered, "no final answer when patience ended"):
+            self.owner.answer(self, answers.FORFEITED)
+
+
+class Hop:
+    __slots__ = ("exchange", "number", "server", "at", "link", "ended", "cancelled")
+
+    def __init__(self, exchange: Exchange, number: int, server: int, at: int) -> None:
+        self.exchange = exchange
+        self.number = number
+        self.server = server
+        self.at = at
+        self.link: Carrier
+        self.ended = False
+        self.cancelled = False
+
+    def woke(self, now: int) -> None:
+        """Its time-out has come, where the balancer sets one."""
+        self.exchange.owner.end(now, self, Outcome.TIMEOUT)
--- /dev/null
+++ b/pumicepath/sidecar/running.py
@@ -0,0 +1,83 @@
+"""Start, signals and shutdown of one sidecar."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+import threading
+from time import monotonic, sleep
+
+from .. import invariants
+from ..discovery.roster import Roster
+from ..discovery.watch import Watch
+from ..interface import Listing
+from . import clock
+from .clients import Clients
+from .config import BadConfig, Config
+from .dispatch import Dispatcher
+from .log import Log
+from .servers import start
+from .watching import Watcher
+
+STACK = 128 * 1024
+COMING = 0.5                # how long new connections may still come after SIGTERM, with room to spare
+LAST = 0.5                  # past the longest patience, when to end whatever is left
+
+
+def serve(config: Config) -> None:
+    """Run until SIGTERM or SIGINT, then until nothing is owed; never comes back."""
+    signals = {signal.SIGTERM, signal.SIGINT}
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    threading.stack_size(STACK)
+    sys.setswitchinterval(0.001)  # no thread keeps an answer of another waiting for long
+    log = Log(config.name)
+    roster = Roster(config.zones, clock.since_unix_ms)
+    known = roster.read(config.known)
+    watch = Watch(roster, f"{config.discovery.host}:{config.discovery.port}", known.version,
+                  2 * config.settings.ask_every)
+    watcher = Watcher(watch, config.discovery)
+    dispatcher = Dispatcher(config, log, watcher.follow)
+    watcher.dispatcher = dispatcher
+    dispatcher.pool.addresses.update(roster.addresses)
+    try:
+        clients = Clients(dispatcher)
+    except OSError as trouble:
+        where = f"{config.listen.host}:{config.listen.port}"
+        raise BadConfig(f"cannot listen on {where}: {trouble.strerror}") from trouble
+    start(log.run)
+    start(dispatcher.run_timers)
+    start(watcher.run)
+    dispatcher.listed(Listing.CACHED, known.entries)
+    if config.pushed:
+        watcher.follow()
+    dispatcher.decide(dispatcher.pool.woke)
+    dispatcher.decide(clients.woke)
+    gc.collect()
+    gc.freeze()
+    log.event("started", servers=len(known.entries), from_clients=config.from_clients,
+              to_servers=config.to_servers, checks="asserted" if __debug__ else "counted")
+    start(clients.run)
+    signal.sigwait(signals)
+    drain(dispatcher, clients, log)
+
+
+def drain(dispatcher: Dispatcher, clients: Clients, log: Log) -> None:
+    """Go on accepting and answering, close connections between requests, and end once nothing is owed."""
+    began = monotonic()
+    dispatcher.draining = True
+    log.event("draining", clients=len(clients.open), out=len(dispatcher.exchanges))
+    patience = max(tariff.patience for tariff in dispatcher.config.settings.tariffs) / 1e6
+    while monotonic() - began < COMING:
+        sleep(0.01)
+    while monotonic() - began < patience + LAST:
+        clients.close_idle()
+        if not clients.open:
+            break
+        sleep(0.01)
+    log.event("stopped", after_s=round(monotonic() - began, 3), clients=len(clients.open),
+              taken=dispatcher.taken, broken=invariants.broken)
+    log.flush()
+    os._exit(0)  # the threads left hold nothing that anyone waits for
--- a/pumicepath/wirehost/host.py
+++ b/pumicepath/wirehost/host.py
@@ -8,9 +8,9 @@
 
 from ..interface import Entry, Listing, Outcome, Phase, Wakeable
 from ..logic import Balancer, Submission
+from ..settings import decode
 from . import frames
 from .frames import Malformed, Reply
-from .settings import decode
 
 PROBE, SHED, PRINT, FOLLOW, TRANSMIT, WAKE, FAIL, REVOKE, DIE = 1, 2, 3, 4, 6, 7, 8, 9, 12
 OUTCOMES = {
