Connections only just accepted are not dropped for room: first submissions on them were lost

Checked: a probe that holds four submissions at a bound of four, connects twice more and sends on the first of these gets no answer. Ruled out: patience (first loss 0.1 s after sending), servers (nothing sent). At fault: Clients.drop_idle, which took every connection that was not busy, also one whose first request was on its way. Now only connections that have been answered on and have been idle for a second.

Also a body held back for 100-continue was not seen as held back (an empty piece counted as its beginning).

--- a/pumicepath/discovery/roster.py
+++ b/pumicepath/discovery/roster.py
@@ -41,7 +41,7 @@
 
 def address(text: str) -> Address:
     host, _, port = text.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
         raise BadList(f"{text!r} is no address")
     return Address(host.strip("[]"), int(port))
 
--- a/pumicepath/http1/parsing.py
+++ b/pumicepath/http1/parsing.py
@@ -76,7 +76,8 @@
         while True:
             if self.step == Step.LENGTH or self.step == Step.CHUNK_DATA:
                 piece = self.ring.take(min(self.left, len(self.ring)))
-                self.parts.append(piece)
+                if piece:
+                    self.parts.append(piece)
                 self.left -= len(piece)
                 if self.left:
                     return None
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -21,6 +21,7 @@
 ALLOWANCE = 25_000
 LONGEST_WRITE = struct.pack("ll", 5, 0)
 LINGER = 1_000_000
+IDLE_ENOUGH = 1_000_000
 SPARE = 24
 
 
@@ -35,6 +36,7 @@
         self.gate = threading.Lock()
         self.closing_at = 0
         self.busy = False
+        self.used = False
         self.idle_since = clock.now()
         self.outgoing = Ring(MOST_HEAD + MOST_BODY + 1024)
 
@@ -131,6 +133,7 @@
         except OSError:
             keep = False  # gone, or it does not read: what it has is not whole
         self.idle_since = clock.now()
+        self.used = True
         self.busy = False
         if not keep:
             self.close()
@@ -196,9 +199,14 @@
             self.places.release()
 
     def drop_idle(self) -> bool:
-        """Make room by closing the connection that has been idle longest."""
-        waiting = sorted((client for client in list(self.open) if not client.busy and not client.closing_at),
-                         key=lambda client: client.idle_since)
+        """Make room by closing the connection that has been idle longest.
+
+        Guards against a fresh connection being taken for an idle one: its first submission is on the way
+        and would be lost, while a client sends again what crosses the closing of a connection it has used.
+        """
+        before = clock.now() - IDLE_ENOUGH
+        idle = [client for client in list(self.open) if client.used and client.idle_since <= before]
+        waiting = sorted(idle, key=lambda client: client.idle_since)
         return any(client.close_if_idle() for client in waiting[:3])
 
     def close_idle(self) -> None:
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,165 @@
+"""The sidecar as a process of its own among stand-ins on loopback; traces tell what each of them saw."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from pumicepath.http1.parsing import ResponseParser
+
+from .helpers import Deployment, answer, compare
+
+NEVER = ("X-Never-Ran", "1")
+
+
+def test_answers_follow_the_table_of_outcomes(tmp_path: Path) -> None:
+    steps = {
+        "served": [answer(200, "stock")],
+        "error": [answer(500)],
+        "may have run": [answer(503)],
+        "never ran": [answer(503, "", NEVER), answer(504, "", NEVER), answer(200, "stock")],
+        "reset": ["reset"],
+        "ended": ["end"],
+        "half a body": [(answer(200, "stock")[:-2], "end")],
+        "no HTTP": [(b"SMTP\r\n\r\n", "wait")],
+        "too long": [(b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", "wait")],
+    }
+    with Deployment(tmp_path, 3).running() as around:
+        for name, script in steps.items():
+            around.lines.append(f"-- {name}")
+            around.ask("once", *script, body="lot 7")
+    compare("outcomes", around.lines)
+
+
+def test_idempotent_goes_on_elsewhere_and_chunked_answers_are_passed_on_whole(tmp_path: Path) -> None:
+    chunked = (
+        b"HTTP/1.1 200 OK\r\nX-Store: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    with Deployment(tmp_path, 3).running() as around:
+        response = around.ask("read", "reset", answer(500), chunked)
+        assert response is not None and response.header("X-Store") == "s"
+    compare("elsewhere", around.lines)
+
+
+def test_silent_servers_are_answered_for_before_patience_ends(tmp_path: Path) -> None:
+    with Deployment(tmp_path, 1).running() as around:
+        for tariff in ("read", "once"):
+            began = time.monotonic()
+            around.ask(tariff, "wait", expires=800)
+            assert 0.7 < time.monotonic() - began < 0.85
+            # Its connection is closed, so that nothing of it can run later and no answer of it be taken.
+            around.servers[0].closed.acquire(timeout=5)
+        around.ask("read", answer(200, "late ones are not mixed up"))
+    compare("silent", around.lines)
+
+
+def test_refused_connections_never_ran_and_a_closed_idle_one_is_not_used(tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 2)
+    with around.running():
+        around.ask("once", (answer(200, "first"), "end"))
+        assert [peer.closed.acquire(timeout=1) for peer in around.servers].count(True) == 1
+        around.ask("once", answer(200, "on a new connection"))
+        first = around.lines[0].split(":")[0]
+        gone = next(peer for peer in around.servers if peer.name == first)
+        gone.listener.shutdown(socket.SHUT_RDWR)
+        gone.listener.close()
+        around.ask("once", "reset")
+        around.ask("once", answer(200, "elsewhere"))
+    compare("refused", around.lines)
+
+
+def test_client_that_leaves_gets_nothing_and_others_go_on(tmp_path: Path) -> None:
+    with Deployment(tmp_path, 1).running() as around:
+        other = socket.create_connection(around.where)
+        around.send("read", sock=other)
+        assert around.servers[0].met.acquire(timeout=5)
+        other.close()
+        around.script.put(answer(200, "for nobody"))
+        around.client.sendall(b"BAD\r\n\r\n")
+        around.hear()
+        assert around.client.recv(1) == b""
+        around.client, around.parser = socket.create_connection(around.where), ResponseParser()
+        around.ask("read", answer(200, "for the next"))
+        around.ask("no such")
+    compare("left", around.lines)
+
+
+def test_sigterm_answers_what_is_taken_and_what_still_comes(tmp_path: Path) -> None:
+    with Deployment(tmp_path, 1).running() as around:
+        idle = socket.create_connection(around.where)
+        around.send("read")
+        assert around.servers[0].met.acquire(timeout=5)
+        around.process.send_signal(signal.SIGTERM)
+        around.event("draining")
+        around.script.put(answer(200, "taken before"))
+        around.hear()
+        late = socket.create_connection(around.where)
+        around.script.put(answer(200, "came later"))
+        around.send("once", sock=late)
+        around.hear(late, ResponseParser())
+        assert idle.recv(1) == b""
+        idle.close()
+        for sock in (around.client, late):
+            assert sock.recv(1) == b""
+            sock.close()
+        assert around.event("stopped")["broken"] == {} and around.process.wait() == 0
+    compare("drain", around.lines)
+
+
+def test_watch_survives_failures_and_what_it_tells_counts_at_once(tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 1)
+    around.lists.put((b"", "reset"))
+    around.lists.put(answer(200, json.dumps(around.listing(7, False, "active"))))
+    with around.running():
+        around.ask("read", answer(200, "active"))
+        around.lists.put(answer(200, json.dumps(around.listing(8, False, "leaving"))))
+        for _ in range(4):
+            assert around.discovery.met.acquire(timeout=5)
+        around.ask("read")
+    compare("watched", around.discovery.lines + around.lines)
+
+
+def test_at_the_bound_of_connections_submissions_are_deferred_at_once_and_none_is_lost(
+    tmp_path: Path,
+) -> None:
+    around = Deployment(tmp_path, 1, limits={"memory_mb": 192, "sockets": 74})
+    with around.running():
+        others = [socket.create_connection(around.where) for _ in range(3)]
+        for sock in (around.client, *others):
+            around.send("read", sock=sock)
+            assert around.servers[0].met.acquire(timeout=5)
+        # Both were accepted beyond the bound, and the first has not been used when the second comes.
+        beyond = [socket.create_connection(around.where) for _ in range(2)]
+        for sock in reversed(beyond):
+            around.send("read", sock=sock)
+            around.hear(sock, ResponseParser())
+        for _ in range(4):
+            around.script.put(answer(200, "room"))
+        for sock in (around.client, *others):
+            around.hear(sock, ResponseParser())
+    compare("bound", [line for line in around.lines if line.startswith("client")])
+
+
+@pytest.mark.parametrize(
+    ("told", "says"),
+    [
+        ("{", "Expecting"),
+        ("[]", "list"),
+        ("{}", "'settings' is missing"),
+        ('{"settings": {"tariffs": []}}', "no tariffs"),
+        (None, "No such file"),
+    ],
+)
+def test_invalid_configuration_ends_with_one_line(tmp_path: Path, told: str | None, says: str) -> None:
+    config = tmp_path / "config.json"
+    if told is not None:
+        config.write_text(told)
+    command = [sys.executable, "-m", "pumicepath", "serve", "--config", str(config)]
+    result = subprocess.run(command, capture_output=True, text=True, timeout=30)
+    assert (result.returncode, result.stdout) == (2, "") and says in result.stderr
+    assert result.stderr.count("\n") == 1
