Breaking connections are given no hop, and a silent watch is begun again at once

The link now leaves the pool first. watching.py, Watcher.ask: a watch that went silent was told as failed, after which the balancer waits 1 to 4 s, past the 2 s after which changes count as told anyway. Now one more call at once on a new connection. Tests fail on the code before.

--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -120,6 +120,9 @@
             self.end(now, hop, Outcome.CANCELLED if hop.cancelled else outcome)
         self.decide(call)
 
+    def retire(self, link: Carrier) -> None:
+        self.decide(lambda now: link.kill())
+
     def end(self, now: int, hop: Hop, outcome: Outcome) -> None:
         if hop.ended:
             return
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -73,7 +73,8 @@
         except Exception as trouble:  # ends this connection only
             self.pool.log.event("fault", text=f"{type(trouble).__name__}: {trouble}")
         finally:
-            self.shut()
+            # First no hop can be given to it any more: guards against `written` being that of the hop before.
+            self.pool.owner.retire(self)
             with self.writing:
                 never = outcome == Outcome.RESET and not self.written
             self.pool.owner.returned(self, Outcome.CONNECT_FAILED if never else outcome, None, False)
--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -55,10 +55,10 @@
         if self.sock is not None:
             try:
                 return self.call(self.sock)
-            except TimeoutError:
-                raise
             except OSError:
-                self.close()  # closed while it stood idle, or with the service: one more try at once
+                # Closed while it stood idle, or silent: once more at once, since what changed meanwhile
+                # counts as told soon after the wait is over.
+                self.close()
         self.sock = socket.socket(socket.AF_INET6 if ":" in self.where.host else socket.AF_INET)
         self.sock.settimeout(DIAL_S)
         self.sock.connect(self.where)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -5,12 +5,20 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from pathlib import Path
 
 import pytest
 
+from pumicepath.discovery.roster import Roster, address
+from pumicepath.discovery.watch import Watch
 from pumicepath.http1.parsing import ResponseParser
+from pumicepath.interface import Outcome
+from pumicepath.sidecar import config
+from pumicepath.sidecar.exchange import Exchange, Hop
+from pumicepath.sidecar.servers import Link, Pool
+from pumicepath.sidecar.watching import Watcher
 
 from .helpers import Deployment, answer, compare
 
@@ -124,6 +132,70 @@
     compare("watched", around.discovery.lines + around.lines)
 
 
+class Owner:
+    """Takes the place of the dispatcher, and notes what it is told."""
+
+    def __init__(self) -> None:
+        self.told: list = []
+        self.some = threading.Semaphore(0)
+        self.events = self.pool = self
+        self.addresses: dict = {}
+
+    def listed(self, kind, entries) -> None:
+        self.told.append((kind.name, len(entries)))
+        self.some.release()
+
+    def returned(self, link, outcome, response, reuse) -> None:
+        self.told.append((link.hop.number if link.hop else None, outcome.name))
+
+    def retire(self, link) -> None:
+        link.kill()
+
+    def event(self, event, **figures) -> None:
+        self.told.append(event)
+
+
+def test_silent_watch_is_begun_again_at_once(tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 1)
+    for step in (around.listing(7, False, "active"), None, around.listing(8, False, "leaving")):
+        around.lists.put("wait" if step is None else answer(200, json.dumps(step)))
+    where = address(around.discovery.address)
+    watcher = Watcher(Watch(Roster(["a"], lambda born: 1), "d", 1, 1000), where)
+    watcher.dispatcher = Owner()
+    watcher.follow()
+    threading.Thread(target=watcher.run, daemon=True).start()
+    for _ in range(2):
+        assert watcher.dispatcher.some.acquire(timeout=5)
+    assert watcher.dispatcher.told == [("CHANGES", 1), ("CHANGES", 1)]
+
+
+def test_no_hop_is_given_to_a_breaking_connection_once_its_outcome_is_known(tmp_path: Path) -> None:
+    class Breaking(Link):
+        """Its server closes it while it is idle; another thread looks for a connection at the worst time."""
+
+        def connect(self):
+            self.writing = self
+            return self
+
+        def send(self, hop) -> None:
+            self.written = True
+
+        def read(self, sock) -> Outcome:
+            self.hop = None
+            return Outcome.RESET
+
+        def __enter__(self) -> None: ...
+
+        def __exit__(self, *trouble) -> None:
+            if not self.dead:
+                self.hop, self.written = hops[1], False
+
+    owner = Owner()
+    hops = [Hop(Exchange(None, None, 0, owner), number, 10, 0) for number in range(2)]
+    Breaking(Pool(owner, config.config(Deployment(tmp_path, 0).told), None), hops[0], "127.0.0.1", 1).run()
+    assert owner.told == [(None, "RESET")]
+
+
 def test_at_the_bound_of_connections_submissions_are_deferred_at_once_and_none_is_lost(
     tmp_path: Path,
 ) -> None:
