--- a/pumicepath/http1/messages.py
+++ b/pumicepath/http1/messages.py
@@ -24,28 +24,35 @@
     minor: int = 1
     headers: list[tuple[str, str]] = field(default_factory=list)
     body: bytes = b""
+    index: dict[str, list[str]] = field(default_factory=dict)
+
+    def add(self, name: str, value: str) -> None:
+        self.headers.append((name, value))
+        self.index.setdefault(name.lower(), []).append(value)
 
     def all(self, name: str) -> list[str]:
-        name = name.lower()
-        return [value for key, value in self.headers if key.lower() == name]
+        """All headers of a name, which is given in lower case."""
+        return self.index.get(name, [])
 
     def header(self, name: str) -> str:
         """The first header of that name, or nothing."""
-        found = self.all(name)
+        found = self.all(name.lower())
         return found[0] if found else ""
 
     def tokens(self, name: str) -> list[str]:
+        if name not in self.index:
+            return []
         parts = ",".join(self.all(name)).split(",")
         return [part.strip().lower() for part in parts if part.strip()]
 
     def keeps(self) -> bool:
         """Whether the peer goes on with the connection."""
-        tokens = self.tokens("Connection")
+        tokens = self.tokens("connection")
         return "close" not in tokens and (self.minor > 0 or "keep-alive" in tokens)
 
     def passed_on(self) -> list[tuple[str, str]]:
         """The headers that are not the connection's own."""
-        own = HOP_BY_HOP.union(self.tokens("Connection"))
+        own = HOP_BY_HOP.union(self.tokens("connection")) if "connection" in self.index else HOP_BY_HOP
         return [(name, value) for name, value in self.headers if name.lower() not in own]
 
 
--- a/pumicepath/http1/parsing.py
+++ b/pumicepath/http1/parsing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from enum import IntEnum
+from collections import deque
 
 from .messages import Malformed, Message, Request, Response
 from .ring import Ring
@@ -15,19 +15,12 @@
 TARGET = re.compile(r"[!-~]+")
 VALUE = re.compile(r"[\t -~\x80-\xff]*")
 VERSION = re.compile(r"HTTP/1\.([0-9])")
-LENGTH = re.compile(r"[0-9]{1,15}")
+DIGITS = re.compile(r"[0-9]{1,15}")
+STATUS = re.compile(r"[1-5][0-9]{2}")
 CHUNK = re.compile(r"([0-9A-Fa-f]{1,8})[ \t]*(;[\t -~\x80-\xff]*)?")
 
 
-class Step(IntEnum):
-    START = 0
-    HEADERS = 1
-    LENGTH = 2
-    CHUNK_SIZE = 3
-    CHUNK_DATA = 4
-    CHUNK_END = 5
-    TRAILERS = 6
-    CLOSE = 7
+START, HEADERS, LENGTH, CHUNK_SIZE, CHUNK_DATA, CHUNK_END, TRAILERS, CLOSE = range(8)
 
 
 class Parser:
@@ -36,13 +29,14 @@
     def __init__(self, most_body: int = MOST_BODY) -> None:
         self.most_body = most_body
         self.ring = Ring(MOST_HEAD + most_body)
-        self.step = Step.START
+        self.step = START
         self.message: Message = Message()
         self.parts: list[bytes] = []
         self.left = 0
         self.got = 0
         self.head = 0
         self.scanned = 0
+        self.lines: deque[str] = deque()
         self.ended = False
 
     def feed(self, data: bytes) -> None:
@@ -55,36 +49,42 @@
 
     def idle(self) -> bool:
         """Whether no byte of a next message has come."""
-        return self.step == Step.START and not len(self.ring)
+        return self.step == START and not len(self.ring) and not self.lines
 
     def line(self) -> str | None:
         """The next line without its end, or None while it is not whole."""
-        at = self.ring.find(b"\n", self.scanned)
-        self.head += (at + 1 if at >= 0 else len(self.ring)) - self.scanned
-        if self.head > MOST_HEAD:
-            raise Malformed(431, f"head or trailers of more than {MOST_HEAD} bytes")
-        if at < 0:
-            self.scanned = len(self.ring)
-            return None
-        self.scanned = 0
-        raw = self.ring.take(at + 1)
-        if not raw.endswith(b"\r\n"):
-            raise Malformed(400, "line that does not end in CR LF")
-        return raw[:-2].decode("latin-1")
+        if not self.lines:
+            # A head that is whole is taken in one piece, unless its last line alone is left, after which a
+            # body may hold the same bytes; what else has lines comes line by line.
+            at = -1
+            if self.step <= HEADERS and self.ring.peek(2) != b"\r\n":
+                at = self.ring.find(b"\r\n\r\n")
+            at = at + 3 if at >= 0 else self.ring.find(b"\n", self.scanned)
+            self.scanned = 0 if at >= 0 else len(self.ring)
+            if self.head + max(at + 1, self.scanned) > MOST_HEAD:
+                raise Malformed(431, f"head or trailers of more than {MOST_HEAD} bytes")
+            if at < 0:
+                return None
+            self.head += at + 1
+            raw = self.ring.take(at + 1).decode("latin-1")
+            if raw.count("\n") != raw.count("\r\n"):
+                raise Malformed(400, "line that does not end in CR LF")
+            self.lines.extend(raw[:-2].split("\r\n"))
+        return self.lines.popleft()
 
     def next(self) -> Message | None:
         while True:
-            if self.step == Step.LENGTH or self.step == Step.CHUNK_DATA:
+            if self.step == LENGTH or self.step == CHUNK_DATA:
                 piece = self.ring.take(min(self.left, len(self.ring)))
                 if piece:
                     self.parts.append(piece)
                 self.left -= len(piece)
                 if self.left:
                     return None
-                if self.step == Step.LENGTH:
+                if self.step == LENGTH:
                     return self.whole()
-                self.step = Step.CHUNK_END
-            elif self.step == Step.CLOSE:
+                self.step = CHUNK_END
+            elif self.step == CLOSE:
                 piece = self.ring.take(len(self.ring))
                 self.grow(len(piece))
                 self.parts.append(piece)
@@ -98,28 +98,28 @@
                     return done
 
     def take_line(self, line: str) -> Message | None:
-        if self.step == Step.START:
+        if self.step == START:
             if line:
                 self.message = self.start(line)
-                self.step = Step.HEADERS
-        elif self.step == Step.HEADERS:
+                self.step = HEADERS
+        elif self.step == HEADERS:
             if line:
-                self.message.headers.append(self.field(line))
+                self.message.add(*self.field(line))
                 if len(self.message.headers) > MOST_HEADERS:
                     raise Malformed(431, f"more than {MOST_HEADERS} headers")
             else:
                 return self.framed()
-        elif self.step == Step.CHUNK_SIZE:
+        elif self.step == CHUNK_SIZE:
             size = CHUNK.fullmatch(line)
             if size is None:
                 raise Malformed(400, "malformed size of a chunk")
             self.left = int(size[1], 16)
             self.grow(self.left)
-            self.step = Step.CHUNK_DATA if self.left else Step.TRAILERS
-        elif self.step == Step.CHUNK_END:
+            self.step = CHUNK_DATA if self.left else TRAILERS
+        elif self.step == CHUNK_END:
             if line:
                 raise Malformed(400, "chunk longer than its size")
-            self.step = Step.CHUNK_SIZE
+            self.step = CHUNK_SIZE
         elif line:
             self.field(line)
         else:
@@ -142,25 +142,26 @@
     def framed(self) -> Message | None:
         """The head is whole: choose how the body ends."""
         message = self.message
-        codings, lengths = message.tokens("Transfer-Encoding"), set(message.tokens("Content-Length"))
         if self.bodiless():
             return self.whole()
-        if message.all("Transfer-Encoding"):
+        if "transfer-encoding" in message.index:
+            codings = message.tokens("transfer-encoding")
             if codings != ["chunked"]:
                 raise Malformed(501, "transfer coding other than chunked")
-            if message.all("Content-Length") or not message.minor:
+            if "content-length" in message.index or not message.minor:
                 # Guards against two readers of one connection that disagree on where a message ends.
                 raise Malformed(400, "chunked body with a length or in HTTP/1.0")
-            self.step = Step.CHUNK_SIZE
-        elif message.all("Content-Length"):
+            self.step = CHUNK_SIZE
+        elif "content-length" in message.index:
+            lengths = set(message.tokens("content-length"))
             length = lengths.pop() if len(lengths) == 1 else ""
-            if not LENGTH.fullmatch(length):
+            if not DIGITS.fullmatch(length):
                 raise Malformed(400, "malformed length")
             self.left = int(length)
             self.grow(self.left)
-            self.step = Step.LENGTH
+            self.step = LENGTH
         elif self.closes():
-            self.step = Step.CLOSE
+            self.step = CLOSE
         else:
             return self.whole()
         return None
@@ -168,7 +169,7 @@
     def whole(self) -> Message:
         message = self.message
         message.body = b"".join(self.parts)
-        self.step = Step.START
+        self.step = START
         self.parts = []
         self.got = self.head = self.left = 0
         return message
@@ -202,14 +203,14 @@
         if message is None:
             return None
         assert isinstance(message, Request)
-        if message.minor and len(message.all("Host")) != 1:
+        if message.minor and len(message.all("host")) != 1:
             raise Malformed(400, "not one Host header")
         return message
 
     def awaited(self) -> bool:
         """Whether the client holds its body back until it is told to go on."""
-        return (self.step in (Step.LENGTH, Step.CHUNK_SIZE) and not self.parts
-                and "100-continue" in self.message.tokens("Expect"))
+        return (self.step in (LENGTH, CHUNK_SIZE) and not self.parts
+                and "100-continue" in self.message.tokens("expect"))
 
 
 class ResponseParser(Parser):
@@ -218,7 +219,7 @@
     def start(self, line: str) -> Message:
         version, _, rest = line.partition(" ")
         code = rest[:3]
-        if not re.fullmatch(r"[1-5][0-9]{2}", code) or rest[3:4] not in ("", " "):
+        if not STATUS.fullmatch(code) or rest[3:4] not in ("", " "):
             raise Malformed(502, "malformed status line")
         return Response(minor=self.minor(version), status=int(code))
 
--- a/pumicepath/http1/ring.py
+++ b/pumicepath/http1/ring.py
@@ -59,8 +59,11 @@
         return self.view[self.head:min(self.head + self.size, len(self.store))]
 
     def peek(self, count: int) -> bytes:
-        first = self.store[self.head:min(self.head + count, len(self.store))]
-        return bytes(first + self.store[:count - len(first)])
+        count = min(count, self.size)
+        end = self.head + count
+        if end <= len(self.store):
+            return bytes(self.view[self.head:end])
+        return bytes(self.view[self.head:]) + bytes(self.view[:end - len(self.store)])
 
     def take(self, count: int) -> bytes:
         taken = self.peek(count)
@@ -74,12 +77,9 @@
         if not self.size and len(self.store) > FIRST:
             self.resize(FIRST)  # guards the memory limit against many idle connections that once were busy
 
-    def find(self, byte: bytes, start: int) -> int:
-        """Where the byte first stands from `start` on, counted from the oldest; -1 if it does not."""
-        first = min(self.size, len(self.store) - self.head)
-        if start < first:
-            at = self.store.find(byte, self.head + start, self.head + first)
-            if at >= 0:
-                return at - self.head
-        at = self.store.find(byte, max(0, start - first), self.size - first)
-        return at + first if at >= 0 else -1
+    def find(self, what: bytes, start: int = 0) -> int:
+        """Where the bytes first stand from `start` on, counted from the oldest; -1 if they do not."""
+        if self.head + self.size > len(self.store):
+            self.resize(len(self.store))  # in one piece, so that nothing is missed over the edge
+        at = self.store.find(what, self.head + start, self.head + self.size)
+        return at - self.head if at >= 0 else -1
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -9,7 +9,7 @@
 from ..http1.messages import Response
 from ..interface import Entry, Listing, Outcome, Phase, Wakeable
 from ..invariants import must
-from ..logic import Balancer
+from ..logic import Balancer, Submission
 from . import answers, clock
 from .config import Config
 from .exchange import Carrier, Exchange, Hop
@@ -68,9 +68,18 @@
                         self.events.event("fault", text=f"{type(trouble).__name__}: {trouble}")
                 after, self.after = self.after, []
                 if not after:
+                    self.drop_idle_alarms()
                     self.due.wait((self.alarms[0][0] - now) / 1e6 if self.alarms else None)
             self.act(after)
 
+    def drop_idle_alarms(self) -> None:
+        """Guards the core against being woken for each submission that has ended long before its alarms."""
+        while self.alarms:
+            whom = self.alarms[0][2]
+            if not isinstance(whom, (Submission, Exchange)) or not whom.over():
+                return
+            heappop(self.alarms)
+
     # -- what happens to submissions
 
     def take(self, exchange: Exchange, tariff: int, key: int, retry: bool) -> None:
@@ -141,7 +150,7 @@
             self.after.append(lambda: client.answer(answer, not self.draining))
 
     def forget(self, exchange: Exchange) -> None:
-        if exchange.handle is not None and exchange.handle.over():
+        if exchange.over():
             self.exchanges.pop(exchange.number, None)
 
     def listed(self, kind: Listing, entries: list[Entry]) -> None:
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -49,6 +49,9 @@
         self.hops: list[Hop] = []
         self.answered = False
 
+    def over(self) -> bool:
+        return self.handle is not None and self.handle.over()
+
     def woke(self, now: int) -> None:
         """Its patience is over: answers for servers that say nothing."""
         for hop in self.hops:
