--- a/pumicepath/command.py
+++ b/pumicepath/command.py
@@ -11,12 +11,14 @@
 from .sidecar import config as settings
 from .sidecar import running
 
-CONFIG = click.option("--config", "path", envvar="GW_CONFIG", required=True, metavar="FILE",
+CONFIG = click.option("--config", "path", envvar="GW_CONFIG", default="", metavar="FILE",
                       help="The sidecar's configuration, JSON; $GW_CONFIG names it too.")
 
 
 def load(path: str) -> settings.Config:
     try:
+        if not path:
+            raise settings.BadConfig("no configuration: name it by --config or $GW_CONFIG")
         return settings.read(path)
     except settings.BadConfig as trouble:
         fail(trouble)
--- a/pumicepath/discovery/roster.py
+++ b/pumicepath/discovery/roster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from hashlib import blake2b
 from typing import Any, NamedTuple
@@ -65,11 +66,10 @@
         try:
             lines = data["hosts"]
             update = Update(int(data["seq"]), bool(data["whole"]), [self.entry(line) for line in lines])
-        except (KeyError, TypeError, ValueError) as trouble:
+            self.addresses.update((entry.server, address(str(line["dial"])))
+                                  for entry, line in zip(update.entries, lines) if entry.phase != Phase.GONE)
+        except (KeyError, TypeError, ValueError, ArithmeticError, AttributeError) as trouble:
             raise BadList(f"{type(trouble).__name__}: {trouble}") from trouble
-        self.addresses.update(
-            (entry.server, address(line["dial"])) for entry, line in zip(update.entries, lines)
-            if entry.phase != Phase.GONE)
         return update
 
     def entry(self, line: dict[str, Any]) -> Entry:
@@ -79,5 +79,7 @@
             # Once for each start: guards against a clock that was set since, which would look like a new one.
             kept = self.starts[name] = (born, self.since_unix_ms(born) if born > 0 else 0)
         zone = self.zones.setdefault(str(line.get("site", "")), len(self.zones))
+        if not math.isfinite(float(line.get("share", 1.0))):
+            raise ValueError(f"share of {name} is no number")
         cell, share = int(line.get("block", 0)), float(line.get("share", 1.0))
         return Entry(Named(name), zone, cell, PHASES[line["health"]], share, kept[1])
--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -10,7 +10,7 @@
 from .roster import BadList, Roster, Update
 
 MOST_LIST = 4 * 1024 * 1024
-LONGEST_WAIT_MS = 60_000
+LONGEST_WAIT_MS = 20_000    # a watch that has gone silent is noticed no sooner than this
 
 
 class Watch:
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -7,13 +7,13 @@
 from pathlib import Path
 from typing import Any
 
-from ..discovery.roster import Address, BadList, address
+from ..discovery.roster import Address, BadList, Roster, address
 from ..interface import Settings
 from ..settings import decode
 
 KEPT_BACK = 64              # descriptors for the listener, discovery, files and what the runtime opens
 OWN_MB = 56                 # memory before the first connection, with room for the list and a burst of bodies
-CONNECTION_KB = 112         # a connection with its thread and buffers, measured with room to spare
+CONNECTION_KB = 140         # a connection with its thread and full bodies both ways: 132 measured
 
 
 class BadConfig(Exception):
@@ -51,7 +51,7 @@
         raise BadConfig(f"{path}: {trouble.strerror}") from trouble
     except KeyError as trouble:
         raise BadConfig(f"{path}: {trouble} is missing") from trouble
-    except (ValueError, TypeError, AttributeError, BadList) as trouble:
+    except (ValueError, TypeError, AttributeError, ArithmeticError, BadList) as trouble:
         raise BadConfig(f"{path}: {trouble}".replace("\n", " ")) from trouble
 
 
@@ -65,14 +65,17 @@
     names = [str(entry["name"]) for entry in info["tariffs"]]
     if not names:
         raise BadConfig("no tariffs in the settings")
+    zones = tuple(str(zone) for zone in info.get("dcs", []))
+    known = told.get("known") or {"seq": 0, "whole": True, "hosts": []}
+    Roster(zones, lambda born: born).read(known)
     return Config(
         name=str(told.get("name", "")),
         listen=address(told["listen"]),
         discovery=address(told["discovery"]),
         seed=int(str(told.get("seed", "0")), 16),
         connections=connections,
-        known=told.get("known") or {"seq": 0, "whole": True, "hosts": []},
-        zones=tuple(info.get("dcs", [])),
+        known=known,
+        zones=zones,
         tariffs={name: at for at, name in enumerate(names)},
         settings=decode(info),
         pushed=info.get("membershipMode") != "on_request",
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -56,6 +56,7 @@
     dispatcher.decide(dispatcher.pool.woke)
     dispatcher.decide(clients.woke)
     dispatcher.decide(dispatcher.pace.woke)
+    dispatcher.decide(Watchman(dispatcher).woke)
     gc.collect()
     gc.freeze()
     host, port = clients.listener.getsockname()[:2]
@@ -67,6 +68,21 @@
     drain(dispatcher, clients, log)
 
 
+class Watchman:
+    """Tells the log of broken invariants when they are counted, not only at the end."""
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher = dispatcher
+        self.told = 0
+
+    def woke(self, now: int) -> None:
+        count = sum(invariants.broken.values())
+        if count > self.told:
+            self.told = count
+            self.dispatcher.events.event("invariant_broken", counts=dict(invariants.broken))
+        self.dispatcher.wake(now + 1_000_000, self)
+
+
 def drain(dispatcher: Dispatcher, clients: Clients, log: Log) -> None:
     """Go on accepting and answering, close connections between requests, and end once nothing is owed."""
     began = monotonic()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -23,6 +23,9 @@
 
 from .helpers import Deployment, answer, compare
 
+KNOWN = json.dumps({
+    "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {"tariffs": [{"name": "a"}]},
+    "known": {"seq": 1, "whole": True, "hosts": [{"host": "s", "dial": 5, "health": "active"}]}})
 NEVER = ("X-Never-Ran", "1")
 
 
@@ -143,6 +146,26 @@
     assert behind == [0, 0, 80_000, 70_000, 61_250, 100_000] and owner.told[-1] == pace.due
 
 
+def test_broken_invariants_are_counted_in_release_builds_and_told() -> None:
+    script = """if True:
+        from pumicepath import invariants
+        from pumicepath.sidecar.running import Watchman
+        class Dispatcher:
+            events = property(lambda self: self)
+            def event(self, event, **figures): print(event, figures)
+            def wake(self, at, whom): print("again at", at)
+        watchman = Watchman(Dispatcher())
+        for holds in (True, False, False):
+            invariants.must(holds, "x")
+            watchman.woke(0)
+    """
+    counted = "{'counts': {'x': 2}}\nagain at 1000000\n"
+    for level, says in (("-O", counted), ("-B", "AssertionError: x")):
+        command = [sys.executable, level, "-c", script]
+        result = subprocess.run(command, capture_output=True, text=True, timeout=30)
+        assert says in result.stdout + result.stderr
+
+
 class Owner:
     """Takes the place of the dispatcher, and notes what it is told."""
 
@@ -238,6 +261,7 @@
         ("[]", "list"),
         ("{}", "'settings' is missing"),
         ('{"settings": {"tariffs": []}}', "no tariffs"),
+        (KNOWN, "no address"),
         (None, "No such file"),
     ],
 )
