Lists are read by orjson: a deeply nested one ended the whole sidecar on its small stack

Found by a probe of what a 128 KiB stack holds: Python's own recursion limit comes first and is an exception, but the standard JSON parser recurses in C and overran the stack on 100,000 brackets (segmentation fault, exit by signal 11). At fault: json.loads in discovery/watch.py. orjson stops at a depth of 1,024 with an error, which is a failed call. Test: a stand-in discovery answers with such a list; the code before dies.

--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+import orjson
 
 from ..http1 import writing
 from ..http1.messages import Response
@@ -35,7 +35,8 @@
         if response.status != 200:
             raise BadList(f"answered {response.status}")
         try:
-            update = self.roster.read(json.loads(response.body))
+            # Not the standard library's parser: guards a thread's small stack against deep nesting.
+            update = self.roster.read(orjson.loads(response.body))
         except ValueError as trouble:
             raise BadList(str(trouble)) from trouble
         self.version = update.version
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -233,6 +233,15 @@
     assert owner.told == [(None, "RESET")]
 
 
+def test_list_nested_too_deep_for_a_small_stack_is_only_a_failed_call(tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 1)
+    around.lists.put(answer(200, "[" * 30_000 + "]" * 30_000))
+    with around.running():
+        assert "depth limit" in around.event("watch_failed")["text"]
+        around.ask("read", answer(200, "still there"))
+    assert around.lines[-1] == "client: 200 still there"
+
+
 def test_at_the_bound_of_connections_submissions_are_deferred_at_once_and_none_is_lost(
     tmp_path: Path,
 ) -> None:
