Servers that keep no idle connections no longer hold up the timers

Found by reading for settings at their edge: with connIdleS 0 the pool asked to be woken again at once, and the timer thread never left the lock; no submission was answered. At fault: Pool.woke. Now it waits 100 ms at least. Test: connIdleS 0 serves two submissions; the code before answers none.

--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -204,7 +204,8 @@
         for idle in list(self.idle.values()):
             for link in [link for link in idle if now - link.idle_since >= self.retire]:
                 link.kill()
-        self.owner.wake(now + self.retire // 10, self)
+        # Never at once again: guards the timers where servers keep no idle connections at all.
+        self.owner.wake(now + max(100_000, self.retire // 10), self)
 
 
 def start(run: Callable[[], None]) -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -256,6 +256,16 @@
     assert around.lines[-1] == "client: 200 still there"
 
 
+def test_servers_that_keep_no_connections_do_not_hold_up_the_timers(tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 1)
+    around.told["settings"]["policyLimits"]["connIdleS"] = 0
+    around.config.write_text(json.dumps(around.told))
+    with around.running():
+        for name in ("one", "two"):
+            around.ask("read", answer(200, name))
+    assert around.lines[1::2] == ["client: 200 one", "client: 200 two"]
+
+
 def test_at_the_bound_of_connections_submissions_are_deferred_at_once_and_none_is_lost(
     tmp_path: Path,
 ) -> None:
