--- a/pumicepath/command.py
+++ b/pumicepath/command.py
@@ -39,7 +39,7 @@
 def serve(path: str) -> None:
     """Run one sidecar until SIGTERM."""
     try:
-        running.serve(load(path))
+        running.serve(load(path), path)
     except settings.BadConfig as trouble:
         fail(trouble)
 
--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -27,8 +27,15 @@
         """A new connection: whatever came on the old one no longer counts."""
         self.parser = ResponseParser(MOST_LIST)
 
+    def move(self, host: str) -> None:
+        """Another discovery, whose versions need not be those of the one before: the whole list first."""
+        self.host = host
+        self.version = -1
+
     def request(self) -> bytes:
-        target = f"/discovery/hosts?since={self.version}&timeout_ms={self.wait_ms}"
+        target = "/discovery/hosts"
+        if self.version >= 0:
+            target += f"?since={self.version}&timeout_ms={self.wait_ms}"
         return writing.request("GET", target, [("Host", self.host)])
 
     def update(self, response: Response) -> Update:
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import threading
+from dataclasses import replace
 from time import monotonic, sleep
 
 from .. import invariants
@@ -14,6 +15,7 @@
 from ..discovery.watch import Watch
 from ..interface import Listing
 from . import clock
+from . import config as settings
 from .clients import Clients
 from .config import BadConfig, Config
 from .dispatch import Dispatcher
@@ -23,12 +25,13 @@
 
 STACK = 128 * 1024
 COMING = 0.5                # how long new connections may still come after SIGTERM, with room to spare
+RESTART = ("name", "listen", "connections", "zones", "tariffs", "settings", "pushed", "idle", "dial")
 LAST = 0.5                  # past the longest patience, when to end whatever is left
 
 
-def serve(config: Config) -> None:
+def serve(config: Config, path: str) -> None:
     """Run until SIGTERM or SIGINT, then until nothing is owed; never comes back."""
-    signals = {signal.SIGTERM, signal.SIGINT}
+    signals = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
     signal.pthread_sigmask(signal.SIG_BLOCK, signals)
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
     threading.stack_size(STACK)
@@ -64,10 +67,25 @@
               from_clients=config.from_clients, to_servers=config.to_servers,
               checks="asserted" if __debug__ else "counted")
     start(clients.run)
-    signal.sigwait(signals)
+    while signal.sigwait(signals) == signal.SIGHUP:
+        config = reload(config, path, watcher, log)
     drain(dispatcher, clients, log)
 
 
+def reload(config: Config, path: str, watcher: Watcher, log: Log) -> Config:
+    """Read the file again and follow its discovery; what else is new in it waits for the next start."""
+    try:
+        new = settings.read(path)
+    except BadConfig as trouble:
+        log.event("reload_failed", text=str(trouble))
+        return config
+    if new.discovery != config.discovery:
+        watcher.move(new.discovery)
+    waiting = [name for name in RESTART if getattr(new, name) != getattr(config, name)]
+    log.event("reloaded", discovery=f"{new.discovery.host}:{new.discovery.port}", needs_restart=waiting)
+    return replace(config, discovery=new.discovery)
+
+
 class Watchman:
     """Tells the log of broken invariants when they are counted, not only at the end."""
 
--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -4,6 +4,8 @@
 
 import socket
 import threading
+from contextlib import suppress
+from time import monotonic, sleep
 
 from ..discovery.roster import Address, BadList
 from ..discovery.watch import Watch
@@ -13,6 +15,8 @@
 
 DIAL_S = 1.0
 SLACK_S = 1.0               # beyond the wait asked for, until discovery counts as silent
+MOVING_S = 3.0              # how long a new discovery is tried anew before that counts as a failed call
+MOVING_STEP_S = 0.1
 
 
 class Watcher:
@@ -20,12 +24,26 @@
         self.watch = watch
         self.where = where
         self.wanted = threading.Event()
+        self.gate = threading.Lock()
+        self.moved_at = 0.0
+        self.moved = False
         self.dispatcher: Dispatcher
         self.sock: socket.socket | None = None
 
     def follow(self) -> None:
         self.wanted.set()
 
+    def move(self, where: Address) -> None:
+        """Discovery is elsewhere from now on; whatever the watch waits for, it asks there at once."""
+        with self.gate:
+            self.where = where
+            self.moved_at = monotonic()
+            self.moved = True
+            if self.sock is not None:
+                with suppress(OSError):  # already broken, which the thread will find
+                    self.sock.shutdown(socket.SHUT_RDWR)
+        self.wanted.set()
+
     def run(self) -> None:
         while True:
             self.wanted.wait()
@@ -33,10 +51,20 @@
             try:
                 self.follow_until_it_fails()
             except (OSError, Malformed, BadList) as trouble:
-                self.dispatcher.events.event("watch_failed", text=f"{type(trouble).__name__}: {trouble}")
+                text = f"{type(trouble).__name__}: {trouble}"
+                kind = "watch_failed"
             except Exception as trouble:  # the sidecar goes on with the list it has, and asks again
-                self.dispatcher.events.event("fault", text=f"{type(trouble).__name__}: {trouble}")
+                text = f"{type(trouble).__name__}: {trouble}"
+                kind = "fault"
             self.close()
+            if self.moved or monotonic() - self.moved_at < MOVING_S:
+                # Guards what has changed meanwhile, which counts as told soon after the move, against a new
+                # discovery that is not up yet or breaks the first call off.
+                if not self.moved:
+                    sleep(MOVING_STEP_S)
+                self.wanted.set()
+                continue
+            self.dispatcher.events.event(kind, text=text)
             self.dispatcher.listed(Listing.FAILED, [])
 
     def follow_until_it_fails(self) -> None:
@@ -59,12 +87,22 @@
                 # Closed while it stood idle, or silent: once more at once, since what changed meanwhile
                 # counts as told soon after the wait is over.
                 self.close()
-        self.sock = socket.socket(socket.AF_INET6 if ":" in self.where.host else socket.AF_INET)
-        self.sock.settimeout(DIAL_S)
-        self.sock.connect(self.where)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return self.call(self.connect())
+
+    def connect(self) -> socket.socket:
+        with self.gate:
+            where = self.where
+            if self.moved:
+                self.moved = False
+                self.watch.move(f"{where.host}:{where.port}")
+            self.sock = sock = socket.socket(socket.AF_INET6 if ":" in where.host else socket.AF_INET)
+        sock.settimeout(DIAL_S)
+        sock.connect(where)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.watch.restart()
-        return self.call(self.sock)
+        if self.moved:
+            raise ConnectionAbortedError("discovery has moved")
+        return sock
 
     def call(self, sock: socket.socket) -> Response:
         sock.settimeout(self.watch.wait_ms / 1000 + SLACK_S)
@@ -82,6 +120,7 @@
                 raise ConnectionResetError("discovery ended the connection")
 
     def close(self) -> None:
-        if self.sock is not None:
-            self.sock.close()
-            self.sock = None
+        with self.gate:
+            if self.sock is not None:
+                self.sock.close()
+                self.sock = None
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,6 +1,7 @@
 """The sidecar as a process of its own among stand-ins on loopback; traces tell what each of them saw."""
 
 import json
+import queue
 import signal
 import socket
 import subprocess
@@ -22,7 +23,7 @@
 from pumicepath.sidecar.servers import Link, Pool
 from pumicepath.sidecar.watching import Watcher
 
-from .helpers import Deployment, answer, compare
+from .helpers import Deployment, Peer, answer, compare
 
 KNOWN = json.dumps({
     "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {"tariffs": [{"name": "a"}]},
@@ -150,6 +151,29 @@
     compare("watched", around.discovery.lines + around.lines)
 
 
+def test_sighup_follows_the_new_discovery_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 1)
+    elsewhere = Peer("elsewhere", queue.SimpleQueue(), around.discovery.lines)
+    around.discovery.lines.append("-- the file is replaced")
+    with around.running():
+        assert around.discovery.met.acquire(timeout=5)
+        around.send("read")
+        assert around.servers[0].met.acquire(timeout=5)
+        for text in ("{", json.dumps({**around.told, "discovery": elsewhere.address, "seed": "2f"})):
+            around.config.write_text(text)
+            around.process.send_signal(signal.SIGHUP)
+            around.lines.append(str(around.event("reload_failed" if text == "{" else "reloaded").get("text")))
+        elsewhere.script.put((b"", "reset"))
+        elsewhere.script.put(answer(200, json.dumps(around.listing(1, True, "leaving"))))
+        for _ in range(3):
+            assert elsewhere.met.acquire(timeout=5)
+        around.script.put(answer(200, "taken before"))
+        around.hear()
+        around.ask("read")
+    lines = [line.replace(str(tmp_path), "") for line in around.discovery.lines + around.lines]
+    compare("reload", [line for line in lines if not line.startswith("discovery")])
+
+
 def test_delay_of_the_own_threads_is_noticed_at_once_and_forgotten_slowly() -> None:
     owner = Owner()
     pace = Pace(owner)
