--- a/pumicepath/discovery/roster.py
+++ b/pumicepath/discovery/roster.py
@@ -40,6 +40,9 @@
     port: int
 
 
+NOWHERE = Address("", 0)
+
+
 def address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
@@ -48,29 +51,40 @@
 
 
 class Update(NamedTuple):
+    """What has changed, or the whole list; each entry has its address."""
+
     version: int
     whole: bool
     entries: list[Entry]
+    addresses: list[Address]
+
+
+NOTHING = Update(0, False, [], [])
 
 
 class Roster:
-    """What the list has said so far: addresses, and starts by the sidecar's own clock."""
+    """What the list has said so far of the servers on it: their starts by the sidecar's own clock."""
 
     def __init__(self, zones: Sequence[str], since_unix_ms: Callable[[int], int]) -> None:
         self.zones = {name: at for at, name in enumerate(zones)}
         self.since_unix_ms = since_unix_ms
-        self.addresses: dict[int, Address] = {}
         self.starts: dict[str, tuple[int, int]] = {}
 
     def read(self, data: Any) -> Update:
         try:
             lines = data["hosts"]
-            update = Update(int(data["seq"]), bool(data["whole"]), [self.entry(line) for line in lines])
-            self.addresses.update((entry.server, address(str(line["dial"])))
-                                  for entry, line in zip(update.entries, lines) if entry.phase != Phase.GONE)
+            version, whole = int(data["seq"]), bool(data["whole"])
+            entries = [self.entry(line) for line in lines]
+            addresses = [address(str(line["dial"])) if entry.phase != Phase.GONE else NOWHERE
+                         for entry, line in zip(entries, lines)]
         except (KeyError, TypeError, ValueError, ArithmeticError, AttributeError) as trouble:
             raise BadList(f"{type(trouble).__name__}: {trouble}") from trouble
-        return update
+        # Servers come and go for as long as the sidecar runs: nothing is kept of those that are gone.
+        named = {str(line["host"]) for line, entry in zip(lines, entries) if entry.phase != Phase.GONE}
+        left = set(self.starts) - named if whole else {str(line["host"]) for line in lines} - named
+        for name in left:
+            self.starts.pop(name, None)
+        return Update(version, whole, entries, addresses)
 
     def entry(self, line: dict[str, Any]) -> Entry:
         name, born = str(line["host"]), int(line.get("born_ms", 0))
--- a/pumicepath/http1/parsing.py
+++ b/pumicepath/http1/parsing.py
@@ -153,8 +153,8 @@
                 raise Malformed(400, "chunked body with a length or in HTTP/1.0")
             self.step = CHUNK_SIZE
         elif "content-length" in message.index:
-            lengths = set(message.tokens("content-length"))
-            length = lengths.pop() if len(lengths) == 1 else ""
+            lengths = message.all("content-length")
+            length = lengths[0] if len(lengths) == 1 else ""
             if not DIGITS.fullmatch(length):
                 raise Malformed(400, "malformed length")
             self.left = int(length)
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -169,7 +169,7 @@
     def give_up(self, now: int) -> None:
         self.done = True
         if self.harmless():
-            self.balancer.outlet.defer(self.name, self.balancer.retry_in(self))
+            self.balancer.outlet.defer(self.name, self.balancer.retry_in(self.tariff))
         else:
             self.balancer.outlet.forfeit(self.name)
 
@@ -384,8 +384,8 @@
             self.outlet.log(f"limit off: {self.tardy:.2f} of hops tardy, {level:.1f} out")
             self.room = math.inf
 
-    def retry_in(self, one: Submission) -> int:
-        agreed = self.settings.tariffs[one.tariff].agreed
+    def retry_in(self, tariff: int) -> int:
+        agreed = self.settings.tariffs[tariff].agreed
         return min(self.settings.most_retry_in, int(agreed * (0.5 + self.chance.share())))
 
     def may_retry(self, one: Submission) -> bool:
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -1,13 +1,14 @@
-"""Connections of the application: each has a thread that reads; whoever ends a submission answers."""
+"""Connections of the application: each has a thread that reads a request, carries it, and reads the next."""
 
 from __future__ import annotations
 
 import socket
 import struct
 import threading
+import time
+from collections import Counter
 from contextlib import suppress
 
-from ..discovery.roster import stable
 from ..http1 import writing
 from ..http1.messages import Malformed, Request
 from ..http1.parsing import MOST_BODY, MOST_HEAD, RequestParser
@@ -16,28 +17,37 @@
 from .dispatch import Dispatcher
 from .exchange import Exchange
 from .servers import start
+from .submissions import asked
 
 # Taken off a client's patience for the way to and fro and for threads that wait their turn.
 ALLOWANCE = 25_000
-LONGEST_WRITE = struct.pack("ll", 5, 0)
-LINGER = 1_000_000
-IDLE_ENOUGH = 1_000_000
+LONGEST_WRITE = struct.pack("ll", 1, 0)
+SINK = bytearray(256 * 1024)  # what nobody reads goes there; the kernel does not even copy it
+
+FRESH, PARTIAL, BUSY, IDLE, CLOSING = range(5)
+SWEEP = 200_000
+SILENT = 2_000_000          # until a connection that has sent nothing is closed
+UNFINISHED = 2_000_000      # until a request that has begun must be whole
+IDLE_LONG = 15_000_000      # between requests, while there is room
+IDLE_SHORT = 2_000_000      # and while more than half of it is taken
+LINGER = 1_000_000          # for the client to close after we did
+# At the bound, from when a connection makes room for a new one: its first bytes are overdue, or it rests.
+CROWDED = {FRESH: 50_000, CLOSING: 100_000, IDLE: 1_000_000, PARTIAL: 1_000_000}
+EVICTED = 8                 # at a time, since many come together
 SPARE = 24
+MOST_ERRORS = 3             # in a row, until the connection is closed
 
 
 class Client:
-    def __init__(self, sock: socket.socket, owner: Clients, spare: bool) -> None:
+    def __init__(self, sock: socket.socket, owner: Clients, now: int) -> None:
         self.sock = sock
         self.owner = owner
-        self.spare = spare
-        self.current: Exchange | None = None
+        self.state = FRESH
+        self.since = now
         self.keep = True
+        self.errors = 0
         self.answered = threading.Event()
         self.gate = threading.Lock()
-        self.closing_at = 0
-        self.busy = False
-        self.used = False
-        self.idle_since = clock.now()
         self.outgoing = Ring(MOST_HEAD + MOST_BODY + 1024)
 
     # -- reading, by the connection's own thread
@@ -48,81 +58,95 @@
             # Guards the thread that answers against a client that does not read.
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, LONGEST_WRITE)
             self.read()
+            while self.state == CLOSING and self.sock.recv_into(SINK, 0, socket.MSG_TRUNC):
+                pass  # guards the answer: closed with bytes unread, it would be lost on its way
         except OSError:
             pass  # the client has broken the connection off
         except Exception as trouble:  # ends this connection only
             self.owner.dispatcher.events.event("fault", text=f"{type(trouble).__name__}: {trouble}")
-            if self.current is not None:
-                self.owner.dispatcher.failed(self.current)
         finally:
-            if self.current is not None:
-                self.owner.dispatcher.left(self.current)
             self.owner.ended(self)
             self.sock.close()
 
     def read(self) -> None:
+        """Until the connection is to be closed."""
         parser = RequestParser()
         told = False
         arrived = 0
         while True:
-            if self.current is not None and self.answered.is_set():
-                self.current = None
-            if self.current is None and not self.closing_at:
-                try:
-                    request = parser.next()
-                except Malformed as trouble:
-                    self.answer(answers.plain(trouble.status, str(trouble)), False)
-                    request = None
-                if request is not None:
-                    with self.gate:
-                        if self.closing_at:
-                            return  # closed between requests: the client sends this one again
-                        self.busy = True
-                    told = False
-                    self.serve(request, arrived)
-                    arrived = clock.now() if not parser.idle() else 0
-                    continue
-                if parser.awaited() and not told:
-                    told = True
-                    self.sock.sendall(writing.CONTINUE)
-            if self.current is not None and not parser.idle():
-                # More of the client's came along and waits for this answer; no byte need come after it.
-                self.answered.wait()
+            try:
+                request = parser.next()
+            except Malformed as trouble:
+                if self.enter(BUSY):
+                    self.refuse(trouble, False)
+                return
+            if request is not None:
+                if not self.enter(BUSY):
+                    return  # closed between requests: the client sends this one again
+                self.serve(request, arrived)
+                told = False
+                if not self.enter(IDLE if parser.idle() else PARTIAL):
+                    return
                 continue
+            if not told and parser.awaited():
+                told = True
+                self.sock.sendall(writing.CONTINUE)
             count = self.sock.recv_into(parser.ring.room())
             if not count:
                 return
+            # The last byte's time is the request's; those that come together have it in common.
+            arrived = clock.now()
             parser.ring.wrote(count)
-            arrived = arrived or clock.now()
-            if self.closing_at:
-                parser.ring.drop(len(parser.ring))
+            if self.state != PARTIAL and not self.enter(PARTIAL):
+                return
+
+    def enter(self, state: int) -> bool:
+        """Go on to a state of the connection, unless it is being closed."""
+        with self.gate:
+            if self.state == CLOSING:
+                return False
+            if self.state == FRESH:
+                self.owner.fresh.pop(self, None)
+            self.state = state
+            self.since = clock.now()
+        return True
 
     def serve(self, request: Request, arrived: int) -> None:
         dispatcher = self.owner.dispatcher
-        self.keep = request.keeps() and not self.spare
+        self.keep = request.keeps()
         self.answered.clear()
         if request.target == "/up" and request.method in ("GET", "HEAD"):
             self.answer(answers.READY if dispatcher.balancer.ready else answers.NOT_READY, True)
             return
-        if self.spare:
-            # All connections that the limits allow are in use: nothing went out, so trying again is harmless.
-            self.answer(answers.deferred(0), False)
+        config = dispatcher.config
+        try:
+            what = asked(request, config.tariffs, config.settings.tariffs)
+        except Malformed as trouble:
+            self.refuse(trouble, True)
             return
-        tariff = dispatcher.config.tariffs.get(request.header("X-Qos"))
-        if tariff is None:
-            self.answer(answers.plain(400, "no such class"), True)
+        if self.owner.crowded():
+            # All connections that the limits allow are in use: nothing went out, so trying again is harmless.
+            self.answer(answers.deferred(dispatcher.retry_in(what.tariff)), False)
             return
-        patience = dispatcher.config.settings.tariffs[tariff].patience
-        expires = request.header("X-Expires-In-Ms")
-        if expires.isascii() and expires.isdigit():
-            patience = min(int(expires) * 1000, 24 * 3600 * 1_000_000)
         # What was read late was sent early: guards against patience that ends unseen on a crowded core.
-        allowance = min(ALLOWANCE, patience // 20) + 2 * dispatcher.pace.behind
-        until = arrived + patience - allowance
-        key = request.header("X-Object")
-        retry = request.header("X-Second-Try") == "1"
-        self.current = Exchange(self, request, until, dispatcher)
-        dispatcher.take(self.current, tariff, stable(key) if key else 0, retry)
+        allowance = min(ALLOWANCE, what.patience // 20) + 2 * dispatcher.pace.behind
+        exchange = Exchange(self, what.trace, request, arrived + what.patience - allowance, dispatcher)
+        try:
+            if dispatcher.take(exchange, what.tariff, what.key, what.retry):
+                self.errors = 0
+                dispatcher.carry(exchange)
+                self.answered.wait()  # by the timers, if patience has ended
+            else:
+                self.refuse(Malformed(409, "id of a request that is open, or was just now"), True)
+        except Exception:
+            dispatcher.failed(exchange)
+            raise
+
+    def refuse(self, trouble: Malformed, keep: bool) -> None:
+        self.owner.refused[str(trouble)] += 1
+        self.errors += 1
+        # Guards the core against a client that sends the same again as soon as it is told what is wrong.
+        self.answer(answers.plain(trouble.status, str(trouble)), keep and self.errors < MOST_ERRORS)
 
     # -- answering, by whichever thread ended the submission
 
@@ -135,24 +159,37 @@
                 self.outgoing.drop(self.sock.send(self.outgoing.data()))
         except OSError:
             keep = False  # gone, or it does not read: what it has is not whole
-        self.idle_since = clock.now()
-        self.used = True
-        self.busy = False
         if not keep:
-            self.close()
+            self.enter(CLOSING)
+            self.shut(socket.SHUT_WR)
         self.answered.set()
 
-    def close(self) -> None:
-        """End our sending; the reader goes on until the client has closed too, or the sweep ends it."""
-        self.closing_at = self.closing_at or clock.now()
-        self.shut(socket.SHUT_WR)
+    def gone(self) -> bool:
+        """Whether the client has closed its connection, as far as that has come."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    # -- closing, by other threads
 
-    def close_if_idle(self) -> bool:
+    def expire(self, state: int) -> bool:
+        """Close the connection if it is still in that state."""
         with self.gate:
-            if self.busy or self.closing_at:
+            if self.state != state:
                 return False
-            self.closing_at = clock.now()
-        self.shut(socket.SHUT_WR)
+            self.state = CLOSING
+            self.since = clock.now()
+        if state == PARTIAL:
+            self.owner.refused["unfinished"] += 1
+            late = answers.plain(408, "unfinished")
+            with suppress(OSError):
+                self.sock.send(writing.response(*late, False), socket.MSG_DONTWAIT)
+            self.shut(socket.SHUT_WR)
+        else:
+            self.shut(socket.SHUT_RDWR)
         return True
 
     def shut(self, how: int) -> None:
@@ -168,7 +205,8 @@
         self.dispatcher = dispatcher
         self.most = config.from_clients
         self.open: dict[Client, None] = {}
-        self.places = threading.Semaphore(self.most + SPARE)
+        self.fresh: dict[Client, None] = {}  # those that have sent nothing yet, the oldest first
+        self.refused: Counter[str] = Counter()
         family = socket.AF_INET6 if ":" in config.listen.host else socket.AF_INET
         self.listener = socket.socket(family, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -177,48 +215,67 @@
 
     def run(self) -> None:
         while True:
-            self.places.acquire()
             try:
                 sock, _ = self.listener.accept()
             except OSError as trouble:
-                self.places.release()
                 if self.listener.fileno() < 0:
                     return
                 self.dispatcher.events.event("accept_failed", text=str(trouble))
-                threading.Event().wait(0.01)  # out of descriptors or memory: others must end first
+                self.make_room()
+                time.sleep(0.01)  # out of descriptors or memory: others must end first
                 continue
-            client = Client(sock, self, len(self.open) >= self.most and not self.drop_idle())
-            self.open[client] = None
+            client = Client(sock, self, clock.now())
+            self.open[client] = self.fresh[client] = None
             try:
                 start(client.run)
             except RuntimeError as trouble:
                 self.dispatcher.events.event("fault", text=f"no thread for a client: {trouble}")
                 self.ended(client)
                 sock.close()
+            if len(self.open) >= self.most or len(self.fresh) > self.most // 3:
+                self.make_room()
+                while len(self.open) >= self.most + SPARE:
+                    time.sleep(0.005)  # new ones wait in the listener's queue
+                    self.make_room()
 
     def ended(self, client: Client) -> None:
-        if client in self.open:
-            del self.open[client]
-            self.places.release()
+        self.open.pop(client, None)
+        self.fresh.pop(client, None)
+
+    def crowded(self) -> bool:
+        return len(self.open) - len(self.fresh) > self.most
 
-    def drop_idle(self) -> bool:
-        """Make room by closing the connection that has been idle longest.
+    def make_room(self) -> None:
+        """Close what is least missed: the silent first, then what is closing anyway, then what rests.
 
-        Guards against a fresh connection being taken for an idle one: its first submission is on the way
-        and would be lost, while a client sends again what crosses the closing of a connection it has used.
+        Guards against clients that connect by hundreds and say nothing.  A fresh connection is not taken for
+        a silent one at once: its first submission may be on the way and would be lost.
         """
-        before = clock.now() - IDLE_ENOUGH
-        idle = [client for client in list(self.open) if client.used and client.idle_since <= before]
-        waiting = sorted(idle, key=lambda client: client.idle_since)
-        return any(client.close_if_idle() for client in waiting[:3])
+        now = clock.now()
+        overdue: list[tuple[bool, int, int, int, Client]] = []
+        for client in list(self.open):
+            state, since = client.state, client.since
+            if now - since >= CROWDED.get(state, now):
+                overdue.append((state not in (FRESH, CLOSING), since, len(overdue), state, client))
+        for *_, state, client in sorted(overdue)[:EVICTED]:
+            client.expire(state)
 
     def close_idle(self) -> None:
+        before = clock.now() - CROWDED[FRESH]
         for client in list(self.open):
-            client.close_if_idle()
+            if client.state == IDLE or client.state == FRESH and client.since <= before:
+                client.expire(client.state)
 
     def woke(self, now: int) -> None:
-        """End connections whose clients do not close them after we did."""
+        """Look for connections whose time is up."""
+        self.dispatcher.after.append(self.sweep)
+        self.dispatcher.wake(now + SWEEP, self)
+
+    def sweep(self) -> None:
+        now = clock.now()
+        idle = IDLE_LONG if len(self.open) <= self.most // 2 else IDLE_SHORT
+        longest = {FRESH: SILENT, PARTIAL: UNFINISHED, IDLE: idle, CLOSING: LINGER}
         for client in list(self.open):
-            if client.closing_at and now - client.closing_at >= LINGER:
-                client.shut(socket.SHUT_RDWR)
-        self.dispatcher.wake(now + LINGER // 2, self)
+            state = client.state
+            if now - client.since >= longest.get(state, now):
+                client.expire(state)
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -11,8 +11,8 @@
 from ..interface import Settings
 from ..settings import decode
 
-KEPT_BACK = 64              # descriptors for the listener, discovery, files and what the runtime opens
-OWN_MB = 56                 # memory before the first connection, with room for the list and a burst of bodies
+KEPT_BACK = 48              # descriptors for the listener, discovery, files, and clients beyond the bound
+OWN_MB = 28                 # memory before the first connection, with room for the list and a burst of bodies
 CONNECTION_KB = 140         # a connection with its thread and full bodies both ways: 132 measured
 
 
@@ -37,7 +37,7 @@
 
     @property
     def from_clients(self) -> int:
-        return self.connections * 9 // 20
+        return self.connections * 13 // 20
 
     @property
     def to_servers(self) -> int:
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -6,16 +6,17 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 
+from ..discovery.roster import Update
 from ..http1.messages import Response
-from ..interface import Entry, Listing, Outcome, Phase, Wakeable
+from ..interface import Listing, Outcome, Wakeable
 from ..invariants import must
 from ..logic import Balancer, Submission
 from . import answers, clock
 from .config import Config
-from .exchange import Carrier, Exchange, Hop
+from .exchange import Exchange, Hop
 from .log import Log
 from .pace import Pace
-from .servers import Pool
+from .servers import Link, Pool
 
 
 class Dispatcher:
@@ -33,7 +34,7 @@
         self.draining = False
         self.pool = Pool(self, config, log)
         self.pace = Pace(self)
-        self.starts: dict[int, int] = {}
+        self.traces: dict[str, int] = {}
         self.balancer = Balancer(config.settings, config.seed, self)
 
     # -- the lock and the timers
@@ -84,8 +85,17 @@
 
     # -- what happens to submissions
 
-    def take(self, exchange: Exchange, tariff: int, key: int, retry: bool) -> None:
+    def take(self, exchange: Exchange, tariff: int, key: int, retry: bool) -> bool:
+        """Whether it was taken.
+
+        Guards a submission that may still run against another one under its id, until its patience is over.
+        """
         def call(now: int) -> None:
+            while self.traces and (oldest := next(iter(self.traces.items())))[1] <= now:
+                del self.traces[oldest[0]]
+            if self.traces.get(exchange.trace, 0) > now:
+                return
+            self.traces[exchange.trace] = exchange.until
             self.taken += 1
             exchange.number = self.taken
             self.exchanges[exchange.number] = exchange
@@ -94,14 +104,44 @@
                 self.wake(exchange.until, exchange)
             self.forget(exchange)
         self.decide(call)
+        return exchange.number > 0
+
+    def carry(self, exchange: Exchange) -> None:
+        """By the client's thread: carry out the hops, one after the other, until none follows."""
+        while exchange.pending:
+            hop = exchange.pending.popleft()
+            link = hop.link
+            assert isinstance(link, Link)
+            outcome, response, reuse = link.carry(hop)
+            self.returned(hop, link, outcome, response, reuse)
+
+    def returned(self, hop: Hop, link: Link, outcome: Outcome, response: Response | None,
+                 reuse: bool) -> None:
+        """A hop has ended; its connection is ready for another, or it is closed."""
+        exchange = hop.exchange
+        left = outcome != Outcome.OK and not exchange.answered and exchange.client.gone()
 
-    def left(self, exchange: Exchange) -> None:
-        """The client closed its connection; hops that are out go on, but nobody waits for them."""
         def call(now: int) -> None:
-            if not exchange.answered and exchange.handle is not None:
+            link.hop = None
+            if reuse:
+                self.pool.put(now, link)
+            else:
+                link.kill()
+            if left and not exchange.answered and exchange.handle is not None:
+                # Nobody waits for a further hop.
                 exchange.answered = True
                 exchange.handle.left(now)
-                self.forget(exchange)
+            if hop.ended:
+                return
+            if outcome == Outcome.OK and response is not None and not exchange.answered:
+                self.answer(exchange, answers.succeeded(response))
+            self.end(now, hop, Outcome.CANCELLED if hop.cancelled else outcome)
+        self.decide(call)
+
+    def started(self, hop: Hop) -> None:
+        def call(now: int) -> None:
+            if not hop.ended and hop.exchange.handle is not None:
+                hop.exchange.handle.started(now, hop.number)
         self.decide(call)
 
     def failed(self, exchange: Exchange) -> None:
@@ -109,30 +149,16 @@
         def call(now: int) -> None:
             for hop in exchange.hops:
                 hop.ended = True
+                hop.link.hop = None
                 hop.link.kill()
             if not exchange.answered:
                 self.answer(exchange, answers.FORFEITED)
             self.exchanges.pop(exchange.number, None)
         self.decide(call)
 
-    def returned(self, link: Carrier, outcome: Outcome, response: Response | None, reuse: bool) -> None:
-        """A link's hop has ended; the link is ready for another, or it has broken."""
-        def call(now: int) -> None:
-            hop, link.hop = link.hop, None
-            if reuse and not link.dead:
-                self.pool.put(now, link)
-            else:
-                link.kill()
-            if hop is None or hop.ended:
-                return
-            exchange = hop.exchange
-            if outcome == Outcome.OK and response is not None and not exchange.answered:
-                self.answer(exchange, answers.succeeded(response))
-            self.end(now, hop, Outcome.CANCELLED if hop.cancelled else outcome)
-        self.decide(call)
-
-    def retire(self, link: Carrier) -> None:
-        self.decide(lambda now: link.kill())
+    def retry_in(self, tariff: int) -> int:
+        with self.lock:
+            return self.balancer.retry_in(tariff)
 
     def end(self, now: int, hop: Hop, outcome: Outcome) -> None:
         if hop.ended:
@@ -155,14 +181,11 @@
         if exchange.over():
             self.exchanges.pop(exchange.number, None)
 
-    def listed(self, kind: Listing, entries: list[Entry]) -> None:
+    def listed(self, kind: Listing, update: Update) -> None:
         def call(now: int) -> None:
-            for entry in entries:
-                # A process that has ended or started anew does not know the connections of the one before.
-                if entry.phase == Phase.GONE or self.starts.get(entry.server, entry.came_up) != entry.came_up:
-                    self.pool.close(entry.server)
-                self.starts[entry.server] = entry.came_up
-            self.balancer.listed(now, kind, entries)
+            if kind != Listing.FAILED:
+                self.pool.listed(update)
+            self.balancer.listed(now, kind, update.entries)
         self.decide(call)
 
     # -- the outlet of the balancer, called under the lock
@@ -172,7 +195,8 @@
         now = clock.now()
         hop = Hop(exchange, len(exchange.hops), server, now)
         exchange.hops.append(hop)
-        self.after.append(self.pool.send(now, hop))
+        hop.link = self.pool.link_for(now, hop)
+        exchange.pending.append(hop)
         if timeout > 0:
             self.wake(now + timeout, hop)
 
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import Protocol
 
-from ..http1.messages import Request, Response
+from ..http1.messages import Request
 from ..interface import Outcome, Wakeable
 from ..invariants import must
 from ..logic import Submission
@@ -14,6 +15,8 @@
 class Answerer(Protocol):
     def answer(self, answer: answers.Answer, keep: bool) -> None: ...
 
+    def gone(self) -> bool: ...
+
 
 class Carrier(Protocol):
     hop: Hop | None
@@ -24,10 +27,8 @@
 
 
 class Owner(Protocol):
-    def returned(self, link: Carrier, outcome: Outcome, response: Response | None, reuse: bool) -> None:
-        """A link's hop has ended; the link is ready for another, or it has broken."""
-
-    def retire(self, link: Carrier) -> None: ...
+    def started(self, hop: Hop) -> None:
+        """The first bytes of a hop's answer have come, but not all of it."""
 
     def end(self, now: int, hop: Hop, outcome: Outcome) -> None: ...
 
@@ -37,16 +38,21 @@
 
 
 class Exchange:
-    __slots__ = ("number", "client", "request", "until", "owner", "handle", "hops", "answered")
+    """Its client's thread carries it: what is sent is `pending` until that thread takes it up."""
+
+    __slots__ = ("number", "client", "trace", "request", "until", "owner", "handle", "hops", "pending",
+                 "answered")
 
-    def __init__(self, client: Answerer, request: Request, until: int, owner: Owner) -> None:
+    def __init__(self, client: Answerer, trace: str, request: Request, until: int, owner: Owner) -> None:
         self.number = 0
         self.client = client
+        self.trace = trace
         self.request = request
         self.until = until
         self.owner = owner
         self.handle: Submission | None = None
         self.hops: list[Hop] = []
+        self.pending: deque[Hop] = deque()
         self.answered = False
 
     def over(self) -> bool:
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import threading
+from collections import Counter
 from dataclasses import replace
 from time import monotonic, sleep
 
@@ -44,7 +45,6 @@
     watcher = Watcher(watch, config.discovery)
     dispatcher = Dispatcher(config, log, watcher.follow)
     watcher.dispatcher = dispatcher
-    dispatcher.pool.addresses.update(roster.addresses)
     try:
         clients = Clients(dispatcher)
     except OSError as trouble:
@@ -53,13 +53,13 @@
     start(log.run)
     start(dispatcher.run_timers)
     start(watcher.run)
-    dispatcher.listed(Listing.CACHED, known.entries)
+    dispatcher.listed(Listing.CACHED, known)
     if config.pushed:
         watcher.follow()
     dispatcher.decide(dispatcher.pool.woke)
     dispatcher.decide(clients.woke)
     dispatcher.decide(dispatcher.pace.woke)
-    dispatcher.decide(Watchman(dispatcher).woke)
+    dispatcher.decide(Watchman(dispatcher, clients).woke)
     gc.collect()
     gc.freeze()
     host, port = clients.listener.getsockname()[:2]
@@ -87,10 +87,11 @@
 
 
 class Watchman:
-    """Tells the log of broken invariants when they are counted, not only at the end."""
+    """Tells the log what is counted: broken invariants, and what clients sent that is no submission."""
 
-    def __init__(self, dispatcher: Dispatcher) -> None:
+    def __init__(self, dispatcher: Dispatcher, clients: Clients) -> None:
         self.dispatcher = dispatcher
+        self.clients = clients
         self.told = 0
 
     def woke(self, now: int) -> None:
@@ -98,6 +99,9 @@
         if count > self.told:
             self.told = count
             self.dispatcher.events.event("invariant_broken", counts=dict(invariants.broken))
+        if self.clients.refused:
+            told, self.clients.refused = self.clients.refused, Counter()
+            self.dispatcher.events.event("bad_requests", counts=told)
         self.dispatcher.wake(now + 1_000_000, self)
 
 
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -1,4 +1,4 @@
-"""Connections to servers: each has a thread that reads; whoever sends a hop writes."""
+"""Connections to servers: the thread that carries a submission dials, writes and reads them."""
 
 from __future__ import annotations
 
@@ -6,127 +6,129 @@
 import threading
 from collections.abc import Callable
 from contextlib import suppress
+from typing import NamedTuple
 
+from ..discovery.roster import Address, Update
 from ..http1 import writing
 from ..http1.messages import Malformed, Response
 from ..http1.parsing import MOST_BODY, MOST_HEAD, ResponseParser
 from ..http1.ring import Ring
-from ..interface import Outcome
-from ..invariants import must
+from ..interface import Outcome, Phase
 from . import clock
 from .config import Config
-from .exchange import Carrier, Hop, Owner
+from .exchange import Hop, Owner
 from .log import Log
 
-DEADLINE = "X-Expires-In-Ms"
+DEADLINE = "x-expires-in-ms"
 NEVER_RAN = "X-Never-Ran"
 
 
+class Origin(NamedTuple):
+    """One run of a server's process at its address; connections to it are of no use to the next."""
+
+    where: Address
+    came_up: int
+
+
 class Link:
     """One connection; `hop` and `dead` change under the dispatcher's lock only."""
 
-    def __init__(self, pool: Pool, hop: Hop, host: str, port: int) -> None:
+    def __init__(self, pool: Pool, server: int, origin: Origin | None) -> None:
         self.pool = pool
-        self.server = hop.server
-        self.where = (host, port)
-        self.hop: Hop | None = hop
+        self.server = server
+        self.origin = origin
+        self.hop: Hop | None = None
         self.sock: socket.socket | None = None
-        self.writing = threading.Lock()
         self.outgoing = Ring(MOST_HEAD + MOST_BODY + 1024)
-        self.written = False
+        self.parser = ResponseParser()
         self.dead = False
         self.idle_since = 0
 
     def kill(self) -> None:
-        """Nothing goes out on it any more, and its reader wakes up; it is closed by its own thread."""
+        """Nothing goes out on it any more; whoever carries a hop on it wakes up and finds it broken."""
         if not self.dead:
             self.dead = True
             self.pool.gone(self)
-            self.shut()  # if it is not connected yet, its thread looks at `dead` before it writes
-
-    def send(self, hop: Hop) -> None:
-        with self.writing:
-            if self.dead or hop.ended or self.sock is None:
-                return
-            data = request(hop)
-            try:
-                self.outgoing.put(data)
-                while len(self.outgoing):
-                    self.outgoing.drop(self.sock.send(self.outgoing.data()))
-                self.written = True
-            except OSError:
-                self.shut()
-
-    def shut(self) -> None:
-        with suppress(OSError):  # already broken, which is what the reader will find
-            if self.sock is not None:
-                self.sock.shutdown(socket.SHUT_RDWR)
-
-    def run(self) -> None:
-        hop = self.hop
-        outcome = Outcome.RESET
+            with suppress(OSError):  # not connected yet: then `dead` is looked at before a byte is written
+                if self.sock is not None:
+                    self.sock.shutdown(socket.SHUT_RDWR)
+        if self.hop is None and self.sock is not None:
+            self.sock.close()
+
+    def quiet(self) -> bool:
+        """Whether an idle connection is still open, and nothing came on it that nobody asked for.
+
+        Guards a hop against a connection that its server has closed, or on which bytes that followed the
+        last answer would be taken for its own.
+        """
         try:
-            sock = self.connect()
-            if sock is not None and hop is not None:
-                self.send(hop)
-                outcome = self.read(sock)
-        except Exception as trouble:  # ends this connection only
-            self.pool.log.event("fault", text=f"{type(trouble).__name__}: {trouble}")
-        finally:
-            # First no hop can be given to it any more: guards against `written` being that of the hop before.
-            self.pool.owner.retire(self)
-            with self.writing:
-                never = outcome == Outcome.RESET and not self.written
-            self.pool.owner.returned(self, Outcome.CONNECT_FAILED if never else outcome, None, False)
             if self.sock is not None:
-                self.sock.close()
+                self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
 
-    def connect(self) -> socket.socket | None:
+    def carry(self, hop: Hop) -> tuple[Outcome, Response | None, bool]:
+        """Send a hop and wait for its answer; also tells whether the connection can be used again."""
+        if self.origin is None:
+            return Outcome.MOOT, None, False  # no room for a connection: nothing went out
         try:
-            self.sock = sock = socket.socket(socket.AF_INET6 if ":" in self.where[0] else socket.AF_INET)
-            sock.settimeout(self.pool.dial / 1e6)
-            sock.connect(self.where)
-            sock.settimeout(None)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self.sock is None:
+                self.connect(self.origin.where)
+            self.write(hop)
         except OSError:
-            return None
-        return sock
-
-    def read(self, sock: socket.socket) -> Outcome:
-        """Read until the connection ends; the outcome is that of a hop still out then."""
-        parser = ResponseParser()
+            return Outcome.CONNECT_FAILED, None, False
+        try:
+            return self.read(hop)
+        except Malformed:
+            return Outcome.ERROR, None, False
+        except OSError:
+            return Outcome.RESET, None, False
+
+    def connect(self, where: Address) -> None:
+        self.sock = sock = socket.socket(socket.AF_INET6 if ":" in where.host else socket.AF_INET)
+        sock.settimeout(self.pool.dial / 1e6)
+        sock.connect(where)
+        sock.settimeout(None)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def write(self, hop: Hop) -> None:
+        """Raises OSError if the last byte is not written."""
+        if self.dead or hop.ended or self.sock is None:
+            raise ConnectionAbortedError
+        self.outgoing.put(request(hop))
+        while len(self.outgoing):
+            self.outgoing.drop(self.sock.send(self.outgoing.data()))
+
+    def read(self, hop: Hop) -> tuple[Outcome, Response | None, bool]:
+        sock, parser = self.sock, self.parser
+        assert sock is not None
+        parser.method = hop.exchange.request.method
+        begun = False
         while True:
-            try:
-                count = sock.recv_into(parser.ring.room())
-            except OSError:
-                return Outcome.RESET
+            count = sock.recv_into(parser.ring.room())
             parser.ring.wrote(count)
             if not count:
                 parser.end()
-            hop = self.hop
-            if hop is None:
-                return Outcome.RESET  # closed by the server while idle, or bytes nobody asked for
-            parser.method = hop.exchange.request.method
-            try:
-                response = parser.next()
-            except Malformed:
-                return Outcome.ERROR
+            response = parser.next()
             if response is not None:
-                with self.writing:
-                    reuse = (self.written and response.keeps() and not response.until_close and parser.idle()
-                             and count > 0)
-                self.pool.owner.returned(self, outcome_of(response), response, reuse)
-                if not reuse:
-                    return Outcome.RESET
-            elif not count:
-                return Outcome.RESET
+                # What follows a good answer unasked is the connection's trouble, not the answer's.
+                reuse = response.keeps() and not response.until_close and parser.idle() and count > 0
+                return outcome_of(response), response, reuse
+            if not count:
+                return Outcome.RESET, None, False
+            if not begun:
+                begun = True
+                self.pool.owner.started(hop)
 
 
 def request(hop: Hop) -> bytes:
     exchange = hop.exchange
     left = max(1, (exchange.until - clock.now()) // 1000)
     came = exchange.request
-    headers = [(name, value) for name, value in came.passed_on() if name.lower() != DEADLINE.lower()]
+    headers = [(name, value) for name, value in came.passed_on() if name.lower() != DEADLINE]
     return writing.request(came.method, came.target, [*headers, (DEADLINE, str(left))], came.body)
 
 
@@ -150,36 +152,42 @@
         self.retire = max(config.idle // 2, min(config.idle * 9 // 10, config.idle - 1_000_000))
         self.idle: dict[int, list[Link]] = {}
         self.open = 0
-        self.addresses: dict[int, tuple[str, int]] = {}
-
-    def send(self, now: int, hop: Hop) -> Callable[[], None]:
-        """Find a connection for the hop; the act that comes back writes it."""
-        host, port = self.addresses[hop.server]
+        self.origins: dict[int, Origin] = {}
+
+    def listed(self, update: Update) -> None:
+        """Forget servers that want nothing new, and the connections to processes that have ended."""
+        origins = {} if update.whole else dict(self.origins)
+        for entry, where in zip(update.entries, update.addresses):
+            if entry.phase != Phase.READY:
+                origins.pop(entry.server, None)
+            else:
+                origins[entry.server] = Origin(where, entry.came_up)
+        before, self.origins = self.origins, origins
+        for server, origin in before.items():
+            if origins.get(server) != origin:
+                for link in self.idle.pop(server, []):
+                    link.kill()
+
+    def link_for(self, now: int, hop: Hop) -> Link:
+        """A connection for the hop: the one used last, or a new one, or one that says there is no room."""
         idle = self.idle.get(hop.server, [])
         while idle:
             link = idle.pop()
-            if not link.dead and now - link.idle_since < self.retire and link.where == (host, port):
-                hop.link = link
+            if now - link.idle_since < self.retire and link.quiet():
                 link.hop = hop
-                link.written = False
-                return lambda: link.send(hop)
+                return link
             link.kill()
         if self.open >= self.most:
             self.drop_oldest()
-        hop.link = fresh = Link(self, hop, host, port)
+        fresh = Link(self, hop.server, self.origins.get(hop.server) if self.open < self.most else None)
         self.open += 1
-        if self.open > self.most:
-            return lambda: self.owner.returned(fresh, Outcome.MOOT, None, False)
-        return lambda: self.dial_for(fresh)
-
-    def dial_for(self, link: Link) -> None:
-        try:
-            start(link.run)
-        except RuntimeError:  # no thread to be had: nothing went out
-            self.owner.returned(link, Outcome.MOOT, None, False)
+        fresh.hop = hop
+        return fresh
 
-    def put(self, now: int, link: Carrier) -> None:
-        if must(isinstance(link, Link), "a link of another pool") and isinstance(link, Link):
+    def put(self, now: int, link: Link) -> None:
+        if link.dead or self.origins.get(link.server) != link.origin:
+            link.kill()
+        else:
             link.idle_since = now
             self.idle.setdefault(link.server, []).append(link)
 
@@ -189,10 +197,6 @@
         if link in idle:
             idle.remove(link)
 
-    def close(self, server: int) -> None:
-        for link in list(self.idle.get(server, [])):
-            link.kill()
-
     def drop_oldest(self) -> None:
         oldest = min((idle[0] for idle in self.idle.values() if idle), key=lambda link: link.idle_since,
                      default=None)
@@ -200,12 +204,13 @@
             oldest.kill()
 
     def woke(self, now: int) -> None:
-        """Retire what has stood idle for long."""
+        """Retire what has stood idle for long, or is no longer of use."""
         for idle in list(self.idle.values()):
-            for link in [link for link in idle if now - link.idle_since >= self.retire]:
-                link.kill()
+            for link in list(idle):
+                if now - link.idle_since >= self.retire or not link.quiet():
+                    link.kill()
         # Never at once again: guards the timers where servers keep no idle connections at all.
-        self.owner.wake(now + max(100_000, self.retire // 10), self)
+        self.owner.wake(now + max(100_000, min(1_000_000, self.retire // 10)), self)
 
 
 def start(run: Callable[[], None]) -> None:
--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 from time import monotonic, sleep
 
-from ..discovery.roster import Address, BadList
+from ..discovery.roster import NOTHING, Address, BadList
 from ..discovery.watch import Watch
 from ..http1.messages import Malformed, Response
 from ..interface import Listing
@@ -65,7 +65,7 @@
                 self.wanted.set()
                 continue
             self.dispatcher.events.event(kind, text=text)
-            self.dispatcher.listed(Listing.FAILED, [])
+            self.dispatcher.listed(Listing.FAILED, NOTHING)
 
     def follow_until_it_fails(self) -> None:
         first = True
@@ -73,8 +73,7 @@
             response = self.ask()
             update = self.watch.update(response)
             if first or update.whole or update.entries:
-                self.dispatcher.pool.addresses.update(self.watch.roster.addresses)
-                self.dispatcher.listed(Listing.FULL if update.whole else Listing.CHANGES, update.entries)
+                self.dispatcher.listed(Listing.FULL if update.whole else Listing.CHANGES, update)
             first = False
             if not response.keeps():
                 self.close()
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -175,7 +175,8 @@
         Phase.DRAINING,
     )
     assert [update.entries[0].came_up for update in (again, newer)] == [700, 900]
-    assert again.entries[1].phase == Phase.GONE and roster.addresses[one.server].port == 9000
+    assert again.entries[1].phase == Phase.GONE and again.addresses[0].port == 9001
+    assert list(roster.starts) == ["s-1"], "nothing is kept of what is gone"
 
 
 @pytest.mark.parametrize(
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -12,18 +12,17 @@
 
 import pytest
 
-from pumicepath.discovery.roster import Roster, address
+from pumicepath.discovery.roster import Address, Roster, Update, address
 from pumicepath.discovery.watch import Watch
 from pumicepath.http1 import writing
 from pumicepath.http1.parsing import ResponseParser
-from pumicepath.interface import Outcome
 from pumicepath.sidecar import config
 from pumicepath.sidecar.exchange import Exchange, Hop
 from pumicepath.sidecar.pace import Pace
-from pumicepath.sidecar.servers import Link, Pool
+from pumicepath.sidecar.servers import Pool
 from pumicepath.sidecar.watching import Watcher
 
-from .helpers import Deployment, Peer, answer, compare
+from .helpers import Deployment, Peer, answer, compare, entry
 
 KNOWN = json.dumps({
     "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {"tariffs": [{"name": "a"}]},
@@ -90,16 +89,68 @@
 def test_requests_that_come_together_are_answered_in_turn(tmp_path: Path) -> None:
     with Deployment(tmp_path, 1).running() as around:
         headers = [("Host", "api"), ("X-Qos", "read")]
-        both = [writing.request("GET", f"/{name}", headers) for name in ("one", "two")]
-        around.client.sendall(both[0] + both[1] + both[0][:9])
+        both = [writing.request("GET", f"/{name}", [*headers, ("X-Trace-Id", name)])
+                for name in ("one", "two", "three")]
+        around.client.sendall(both[0] + both[1] + both[2][:9])
         for name in ("one", "two", "three"):
             around.script.put(answer(200, name))
             around.hear()
             if name == "two":
-                around.client.sendall(both[0][9:])
+                around.client.sendall(both[2][9:])
     compare("together", around.lines)
 
 
+def test_bad_clients_get_an_error_or_a_close_and_nothing_of_theirs_is_passed_on(tmp_path: Path) -> None:
+    good = {"Host": "api", "X-Trace-Id": "t9", "X-Qos": "read", "X-Expires-In-Ms": "900"}
+    odd = {
+        "no id": {"X-Trace-Id": None}, "no class": {"X-Qos": None}, "unknown class": {"X-Qos": "gold"},
+        "no number": {"X-Expires-In-Ms": "soon"}, "negative": {"X-Expires-In-Ms": "-5"},
+        "no time": {"X-Expires-In-Ms": "0"}, "open id": {"X-Trace-Id": "t1"},
+        "two ends": {"Content-Length": "3", "Transfer-Encoding": "chunked"},
+        "negative length": {"Content-Length": "-1"}, "two lengths": {"Content-Length": "3, 3"},
+        "60 MB": {"Content-Length": "60000000"},
+    }
+    with Deployment(tmp_path, 1).running() as around:
+        silent, half = (socket.create_connection(around.where) for _ in range(2))
+        half.sendall(b"POST /api HTTP/1.1\r\nHost: a")
+        around.send("read")
+        assert around.servers[0].met.acquire(timeout=5)
+        for name, changed in odd.items():
+            around.lines.append(f"-- {name}")
+            with socket.create_connection(around.where) as sock:
+                headers = [(name, value) for name, value in {**good, **changed}.items() if value is not None]
+                sock.sendall(writing.lines("POST /api HTTP/1.1", headers, b""))
+                around.hear(sock, ResponseParser())
+        around.lines.append("-- the open one")
+        around.script.put(answer(200, "still waited for"))
+        around.hear()
+        around.number = 0
+        around.ask("read")
+        around.lines.append("-- three errors in a row")
+        with socket.create_connection(around.where) as sock:
+            parser = ResponseParser()
+            for _ in range(3):
+                sock.sendall(writing.lines("GET / HTTP/1.1", [("Host", "a")], b""))
+                around.hear(sock, parser)
+        around.lines.append("-- half a request, and silence")
+        around.hear(half, ResponseParser())
+        assert silent.recv(1) == b""
+    compare("bad_clients", around.lines)
+
+
+def test_silent_connections_make_room(tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 1, limits={"memory_mb": 192, "sockets": 60})
+    with around.running():
+        silent = [socket.create_connection(around.where) for _ in range(40)]
+        around.ask("read", answer(200, "served among them"))
+        assert [sock.recv(1) for sock in silent[:20]] == [b""] * 20
+        fresh = socket.create_connection(around.where)
+        around.script.put(answer(200, "and a new one"))
+        around.send("read", sock=fresh)
+        around.hear(fresh, ResponseParser())
+    assert around.lines[1::2] == ["client: 200 served among them", "client: 200 and a new one"]
+
+
 def test_client_that_leaves_gets_nothing_and_others_go_on(tmp_path: Path) -> None:
     with Deployment(tmp_path, 1).running() as around:
         other = socket.create_connection(around.where)
@@ -188,11 +239,12 @@
     script = """if True:
         from pumicepath import invariants
         from pumicepath.sidecar.running import Watchman
+        class Clients: refused = {}
         class Dispatcher:
             events = property(lambda self: self)
             def event(self, event, **figures): print(event, figures)
             def wake(self, at, whom): print("again at", at)
-        watchman = Watchman(Dispatcher())
+        watchman = Watchman(Dispatcher(), Clients())
         for holds in (True, False, False):
             invariants.must(holds, "x")
             watchman.woke(0)
@@ -213,16 +265,10 @@
         self.events = self.pool = self
         self.addresses: dict = {}
 
-    def listed(self, kind, entries) -> None:
-        self.told.append((kind.name, len(entries)))
+    def listed(self, kind, update) -> None:
+        self.told.append((kind.name, len(update.entries)))
         self.some.release()
 
-    def returned(self, link, outcome, response, reuse) -> None:
-        self.told.append((link.hop.number if link.hop else None, outcome.name))
-
-    def retire(self, link) -> None:
-        link.kill()
-
     def wake(self, at, whom) -> None:
         self.told.append(at)
 
@@ -244,31 +290,25 @@
     assert watcher.dispatcher.told == [("CHANGES", 1), ("CHANGES", 1)]
 
 
-def test_no_hop_is_given_to_a_breaking_connection_once_its_outcome_is_known(tmp_path: Path) -> None:
-    class Breaking(Link):
-        """Its server closes it while it is idle; another thread looks for a connection at the worst time."""
-
-        def connect(self):
-            self.writing = self
-            return self
-
-        def send(self, hop) -> None:
-            self.written = True
-
-        def read(self, sock) -> Outcome:
-            self.hop = None
-            return Outcome.RESET
-
-        def __enter__(self) -> None: ...
-
-        def __exit__(self, *trouble) -> None:
-            if not self.dead:
-                self.hop, self.written = hops[1], False
-
-    owner = Owner()
-    hops = [Hop(Exchange(None, None, 0, owner), number, 10, 0) for number in range(2)]
-    Breaking(Pool(owner, config.config(Deployment(tmp_path, 0).told), None), hops[0], "127.0.0.1", 1).run()
-    assert owner.told == [(None, "RESET")]
+def test_idle_connection_that_is_closed_or_brings_bytes_unasked_is_not_used(tmp_path: Path) -> None:
+    pool = Pool(Owner(), config.config(Deployment(tmp_path, 0).told), None)
+    pool.listed(Update(1, True, [entry(10)], [Address("127.0.0.1", 1)]))
+    hop = Hop(Exchange(None, "t", None, 0, None), 0, 10, 0)
+    used = []
+    for trouble in (b"", b"HTTP/1.1 200 OK\r\n\r\n", None, "gone"):
+        link = pool.link_for(0, hop)
+        link.sock, peer = socket.socketpair()
+        link.sock.settimeout(None)
+        link.hop = None
+        pool.put(0, link)
+        if trouble is None:
+            peer.close()
+        elif trouble == "gone":
+            pool.listed(Update(2, True, [entry(10, came_up=7)], [Address("127.0.0.1", 1)]))
+        else:
+            peer.sendall(trouble)
+        used.append(pool.link_for(0, hop) is link)
+    assert used == [True, False, False, False] and pool.open == 4
 
 
 def test_list_nested_too_deep_for_a_small_stack_is_only_a_failed_call(tmp_path: Path) -> None:
@@ -293,21 +333,21 @@
 def test_at_the_bound_of_connections_submissions_are_deferred_at_once_and_none_is_lost(
     tmp_path: Path,
 ) -> None:
-    around = Deployment(tmp_path, 1, limits={"memory_mb": 192, "sockets": 74})
+    around = Deployment(tmp_path, 1, limits={"memory_mb": 192, "sockets": 57})
     with around.running():
-        others = [socket.create_connection(around.where) for _ in range(3)]
-        for sock in (around.client, *others):
-            around.send("read", sock=sock)
-            assert around.servers[0].met.acquire(timeout=5)
+        resting = [socket.create_connection(around.where) for _ in range(4)]
+        for sock in resting:
+            around.send("no such", sock=sock)
+            around.hear(sock, ResponseParser())
+        around.send("read")
+        assert around.servers[0].met.acquire(timeout=5)
         # Both were accepted beyond the bound, and the first has not been used when the second comes.
         beyond = [socket.create_connection(around.where) for _ in range(2)]
         for sock in reversed(beyond):
             around.send("read", sock=sock)
             around.hear(sock, ResponseParser())
-        for _ in range(4):
-            around.script.put(answer(200, "room"))
-        for sock in (around.client, *others):
-            around.hear(sock, ResponseParser())
+        around.script.put(answer(200, "room"))
+        around.hear()
     compare("bound", [line for line in around.lines if line.startswith("client")])
 
 
