--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -76,6 +76,7 @@
     effect: Effect
     group: Group
     window: int
+    stream: bool = False
 
 
 @dataclass(frozen=True)
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -23,7 +23,9 @@
 TRIAL_PART = 0.25           # trials as a part of the hops that a server would get in calm
 HALF_OPEN_TRIALS = 1
 PASS_OVER_MARGIN = 1.25     # times a server's fair part of all that is out
-QUEUED = 3.0                # usual times from which a hop has met a queue
+QUEUED = 3.0                # usual times from which a hop has met a queue, and
+QUEUED_PART = 0.3           # the part of its agreed time that it must have taken too
+BROKEN_OFF = 0.25           # part of the agreed time within which an answer that has begun must be whole
 STALL = 1.0                 # usual times from which a hop still out marks its server as stalled
 TARDY = 0.7                 # part of the agreed time from which a hop is tardy
 JAM = 0.4                   # share of tardy or queued hops that cuts what may be out
@@ -60,13 +62,18 @@
 
 
 class Hop:
-    __slots__ = ("at", "due", "server", "generation", "trial", "level", "out", "may_have_run", "judged",
-                 "begun")
+    """A hop; `server` means something while it is out, its zone and cell stay those that it was sent to."""
 
-    def __init__(self, at: int, due: int, server: int, generation: int, trial: bool, level: float) -> None:
+    __slots__ = ("at", "due", "server", "zone", "cell", "generation", "trial", "level", "out", "may_have_run",
+                 "judged", "begun")
+
+    def __init__(self, at: int, due: int, server: int, zone: int, cell: int, generation: int, trial: bool,
+                 level: float) -> None:
         self.at = at
         self.due = due
         self.server = server
+        self.zone = zone
+        self.cell = cell
         self.generation = generation
         self.trial = trial
         self.out = True
@@ -103,6 +110,10 @@
             self.balancer.answered(now, self.tariff, hop, now - hop.at)
             hop.begun = True
             hop.trial = hop.judged = False
+            tariff = self.balancer.settings.tariffs[self.tariff]
+            hop.due = now + int(BROKEN_OFF * tariff.agreed)
+            if hop.due < self.until and not tariff.stream:
+                self.balancer.outlet.wake(hop.due, self)
 
     def ended(self, now: int, number: int, outcome: Outcome, spent: int, finished: bool) -> None:
         hop = self.hops[number]
@@ -130,11 +141,25 @@
         """A hop has been out for the agreed time: hold that against its server, but let it go on."""
         balancer = self.balancer
         agreed = balancer.settings.tariffs[self.tariff].agreed
-        for hop in self.hops:
-            if hop.out and not hop.judged and not hop.begun and now - hop.at >= agreed:
+        for number, hop in enumerate(self.hops):
+            if not hop.out or hop.judged:
+                continue
+            if not hop.begun and now - hop.at >= agreed:
                 balancer.overdue(now, self.tariff, hop)
+            elif hop.begun and now >= hop.due and not balancer.settings.tariffs[self.tariff].stream:
+                # Guards against answers that begin and never end: where it may run again, it does elsewhere.
+                balancer.verdict(now, hop, True, "answer broken off")
+                if not self.done and self.may_repeat(now):
+                    balancer.outlet.cancel(self.name, number)
+
+    def may_repeat(self, now: int) -> bool:
+        try:
+            self.bound(now)
+        except PermissionError:
+            return False
+        return len(self.hops) < self.balancer.settings.most_hops and self.balancer.retries_left >= 1.0
 
-    def bound(self, now: int) -> tuple[Group, int] | None:
+    def bound(self, now: int) -> Hop | None:
         """Where a further hop may go: any server, or only the group of the first hop that may have run.
 
         Raises PermissionError where no further hop is allowed at all.
@@ -146,7 +171,7 @@
                     return None
                 if tariff.effect == Effect.UNREPEATABLE or now > hop.at + tariff.window:
                     raise PermissionError
-                return (tariff.group, hop.server)
+                return hop if tariff.group != Group.ALL else None
         return None
 
     def harmless(self) -> bool:
@@ -188,8 +213,9 @@
         self.settings = settings
         self.outlet = outlet
         self.chance = Chance(seed)
-        # The list, under a small dense index that a server keeps for good.
+        # The list, under a small dense index that a server keeps while it is listed or a hop to it is out.
         self.index: dict[int, int] = {}
+        self.free: list[int] = []
         self.ids: list[int] = []
         self.zone: list[int] = []
         self.cell: list[int] = []
@@ -257,32 +283,49 @@
             self.following = True
         if kind != Listing.CHANGES:
             named = {entry.server for entry in entries}
-            for at, server in enumerate(self.ids):
+            for server, at in self.index.items():
                 if server not in named:
                     self.phase[at] = Phase.GONE
         for entry in entries:
-            self.note(now, entry)
+            if entry.phase != Phase.GONE or entry.server in self.index:
+                self.note(now, entry)
+        for at in [at for at in self.index.values() if self.phase[at] == Phase.GONE]:
+            self.forget(at)
         self.ready = [at for at, phase in enumerate(self.phase) if phase == Phase.READY]
         self.draws.clear()
 
+    def forget(self, at: int) -> None:
+        """Nothing is kept of a server that is gone once no hop to it is out: new ones come for ever."""
+        if self.phase[at] == Phase.GONE and not self.out[at] and self.index.get(self.ids[at]) == at:
+            del self.index[self.ids[at]]
+            self.generation[at] += 1
+            self.free.append(at)
+
     def note(self, now: int, entry: Entry) -> None:
         at = self.index.get(entry.server)
         if at is None:
-            at = self.index[entry.server] = len(self.ids)
-            self.ids.append(entry.server)
-            self.salt.append(mix(entry.server + 1))
-            for column in (self.zone, self.cell, self.state, self.fails, self.since, self.generation,
-                           self.trials, self.lag_at, self.came_up):
-                column.append(0)
-            self.phase.append(Phase.GONE)
-            self.scale.append(1.0)
-            self.cooldown.append(0)
-            self.ill.append(0.0)
-            self.queued.append(0.0)
-            self.late.append(False)
-            self.lag.append(1.0)
-            self.sent_cold.append(deque())
-            self.out.append([])
+            if self.free:
+                at = self.free.pop()
+            else:
+                at = len(self.ids)
+                for column in (self.ids, self.salt, self.zone, self.cell, self.state, self.fails, self.since,
+                               self.generation, self.trials, self.lag_at, self.came_up, self.cooldown):
+                    column.append(0)
+                for shares in (self.scale, self.ill, self.queued, self.lag):
+                    shares.append(0.0)
+                self.phase.append(Phase.GONE)
+                self.late.append(False)
+                self.sent_cold.append(deque())
+                self.out.append([])
+            self.index[entry.server] = at
+            self.ids[at] = entry.server
+            self.salt[at] = mix(entry.server + 1)
+            self.state[at] = CLOSED
+            self.fails[at] = self.since[at] = self.trials[at] = self.lag_at[at] = self.cooldown[at] = 0
+            self.ill[at] = self.queued[at] = 0.0
+            self.lag[at] = 1.0
+            self.late[at] = False
+            self.sent_cold[at].clear()
             self.came_up[at] = entry.came_up
         if entry.came_up > self.came_up[at]:
             # Guards a fresh process against the verdicts on the one before it.
@@ -364,10 +407,13 @@
         if hop.at <= self.shrunk or hop.server not in self.ready:
             return
         level = self.level_now(now)
-        tardy = spent > TARDY * self.settings.tariffs[tariff].agreed
+        agreed = self.settings.tariffs[tariff].agreed
+        tardy = spent > TARDY * agreed
+        # Guards against taking keys new to a server for queues where work is short for its agreed time.
+        queued = spent > max(QUEUED * self.usual[tariff], QUEUED_PART * agreed)
         # The fewer submissions, the more each hop counts: guards idle sidecars against learning too late.
         self.tardy += min(0.2, max(0.06, self.gap / MEMORY)) * (tardy - self.tardy)
-        self.queued[hop.server] += 0.2 * ((spent > QUEUED * self.usual[tariff]) - self.queued[hop.server])
+        self.queued[hop.server] += 0.2 * (queued - self.queued[hop.server])
         middle = sorted(self.queued[at] for at in self.ready)[len(self.ready) // 2]
         if self.tardy > JAM or middle > JAM:
             self.shrunk = now
@@ -411,7 +457,7 @@
         cold = []
         foreign = self.foreign()
         for at, draw in zip(self.ready, self.draws_of(one.key)):
-            if at in tried or bound is not None and not self.same_group(bound, at):
+            if at in tried or bound is not None and not self.same_group(tariff.group, bound, at):
                 continue
             if self.came_up[at] and self.warmth(now, at) < 1.0:
                 cold.append(at)
@@ -468,13 +514,8 @@
         price = self.settings.crossing_price
         return 1.0 if price <= 0.0 else min(1.0, max(0.05, 0.5 * self.tardy / price))
 
-    def same_group(self, bound: tuple[Group, int], at: int) -> bool:
-        group, first = bound
-        if group == Group.ZONE:
-            return self.zone[at] == self.zone[first]
-        if group == Group.CELL:
-            return self.cell[at] == self.cell[first]
-        return True
+    def same_group(self, group: Group, first: Hop, at: int) -> bool:
+        return self.zone[at] == first.zone if group == Group.ZONE else self.cell[at] == first.cell
 
     def warmth(self, now: int, at: int) -> float:
         """The share of its capacity that a server has at least, by the time since its start."""
@@ -531,7 +572,7 @@
         if self.warmth(now, at) < 1.0:
             self.sent_cold[at].append(now)
         due = now + int(STALL * self.usual[tariff])
-        hop = Hop(now, due, at, self.generation[at], trial, level)
+        hop = Hop(now, due, at, self.zone[at], self.cell[at], self.generation[at], trial, level)
         self.out[at].append(hop)
         return hop
 
@@ -576,6 +617,7 @@
 
     def hop_ended(self, now: int, tariff: int, hop: Hop, outcome: Outcome, spent: int) -> None:
         self.out[hop.server].remove(hop)
+        self.forget(hop.server)
         self.level_now(now)
         self.all_in_flight -= 1
         if hop.begun:
--- a/pumicepath/settings.py
+++ b/pumicepath/settings.py
@@ -44,6 +44,7 @@
         effect=EFFECTS.get(entry.get("effect", ""), Effect.UNREPEATABLE),
         group=GROUPS.get(entry.get("group", "cell"), Group.CELL),
         window=down(entry.get("windowS", 0.0)),
+        stream=bool(entry.get("stream", False)),
     )
 
 
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -32,8 +32,8 @@
 IDLE_SHORT = 2_000_000      # and while more than half of it is taken
 LINGER = 1_000_000          # for the client to close after we did
 # At the bound, from when a connection makes room for a new one: its first bytes are overdue, or it rests.
-CROWDED = {FRESH: 50_000, CLOSING: 100_000, IDLE: 1_000_000, PARTIAL: 1_000_000}
-EVICTED = 8                 # at a time, since many come together
+CROWDED = {FRESH: 50_000, CLOSING: 100_000, IDLE: 100_000, PARTIAL: 1_000_000}
+EVICTED = 8                 # at a time more than needed, since many come together
 SPARE = 24
 MOST_ERRORS = 3             # in a row, until the connection is closed
 
@@ -248,8 +248,9 @@
     def make_room(self) -> None:
         """Close what is least missed: the silent first, then what is closing anyway, then what rests.
 
-        Guards against clients that connect by hundreds and say nothing.  A fresh connection is not taken for
-        a silent one at once: its first submission may be on the way and would be lost.
+        Guards against clients that connect by hundreds and say nothing, or ask once and stay.  A fresh
+        connection is not taken for a silent one at once: its first submission may be on the way and would be
+        lost, while a client sends again what crosses the closing of a connection it has used.
         """
         now = clock.now()
         overdue: list[tuple[bool, int, int, int, Client]] = []
@@ -257,7 +258,7 @@
             state, since = client.state, client.since
             if now - since >= CROWDED.get(state, now):
                 overdue.append((state not in (FRESH, CLOSING), since, len(overdue), state, client))
-        for *_, state, client in sorted(overdue)[:EVICTED]:
+        for *_, state, client in sorted(overdue)[:max(0, len(self.open) - self.most) + EVICTED]:
             client.expire(state)
 
     def close_idle(self) -> None:
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -110,6 +110,9 @@
         while True:
             count = sock.recv_into(parser.ring.room())
             parser.ring.wrote(count)
+            if self.dead:
+                # Guards against what we broke off ourselves being taken for an answer that its end completes.
+                return Outcome.RESET, None, False
             if not count:
                 parser.end()
             response = parser.next()
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -1,6 +1,7 @@
 """What the module decides, scenario by scenario, against the traces kept beside this file."""
 
 import math
+from dataclasses import replace
 
 import pytest
 
@@ -281,8 +282,54 @@
     check("cooldowns", bench)
 
 
-def test_started_stream_closes_a_trial_and_its_break_counts() -> None:
+def test_answer_that_begins_and_does_not_end_is_broken_off_where_it_may_run_again() -> None:
+    bench = Bench(settings(), [entry(10), entry(11), entry(12)])
+    for name, tariff in enumerate((0, 1)):
+        one = bench.at(name).take(name, tariff=tariff)
+        one.started(bench.at(name + 0.1).now, 0)
+        bench.at(name + 0.6)
+        cancelled = "hop 0 cancelled" in bench.lines[-1]
+        one.ended(bench.now, 0, Outcome.CANCELLED if cancelled else Outcome.TIMEOUT, 500_000, False)
+        if not one.over():
+            bench.end(one, Outcome.OK)
+    check("broken_off", bench)
+
+
+def test_nothing_is_kept_of_servers_that_are_gone() -> None:
     bench = Bench(settings(), [entry(10), entry(11)])
+    for first in range(20, 60, 2):
+        held = bench.take(first, key=0)
+        for ready in (False, True):
+            bench.balancer.listed(bench.now, Listing.FULL, [entry(first + 1), entry(first)][:2 * ready])
+        # Its place is not given to another while a hop of it is out; the outcome is nobody else's.
+        bench.end(held, Outcome.RESET)
+        bench.end(held, Outcome.OK)
+    rows = [row for row in vars(bench.balancer).values() if isinstance(row, (list, dict))]
+    assert max(map(len, rows)) <= 4 and sorted(bench.balancer.index) == [58, 59]
+    assert bench.balancer.fails.count(0) == len(bench.balancer.fails)
+
+
+def test_repeat_stays_in_the_group_of_a_server_whose_place_another_has_taken() -> None:
+    bench = Bench(settings(marked(Group.ZONE)), [entry(10, zone=1)])
+    one = bench.take(1, key=0, patience=5)
+    bench.balancer.listed(0, Listing.FULL, [entry(12, zone=2)])
+    bench.end(one, Outcome.RESET)
+    assert bench.lines[-1].endswith("submission 1: forfeited") and one.over()
+
+
+def test_keys_new_to_their_servers_are_no_queue_where_work_is_short() -> None:
+    limits = []
+    for times in (4, 30):
+        bench = Bench(settings(), [entry(server) for server in (10, 11, 12)])
+        for name in range(1, 400):
+            one = bench.at(name * 0.5).take(name, key=name)
+            bench.at(name * 0.5 + 0.01 * (times if name > 200 and name % 2 else 1)).end(one, Outcome.OK)
+        limits.append(sum("limit on" in line for line in bench.lines))
+    assert limits[0] == 0 < limits[1]
+
+
+def test_started_stream_closes_a_trial_and_its_break_counts() -> None:
+    bench = Bench(settings(replace(READ, stream=True), ONCE), [entry(10), entry(11)])
     favourite(bench, 1)
     bench.quick(1, 3, 1, Outcome.RESET)
     for name in range(4, 8):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,7 +16,8 @@
 from pumicepath.discovery.watch import Watch
 from pumicepath.http1 import writing
 from pumicepath.http1.parsing import ResponseParser
-from pumicepath.sidecar import config
+from pumicepath.sidecar import clock, config
+from pumicepath.sidecar.clients import BUSY, CLOSING, FRESH, IDLE, PARTIAL, Client, Clients
 from pumicepath.sidecar.exchange import Exchange, Hop
 from pumicepath.sidecar.pace import Pace
 from pumicepath.sidecar.servers import Pool
@@ -151,6 +152,29 @@
     assert around.lines[1::2] == ["client: 200 served among them", "client: 200 and a new one"]
 
 
+def test_at_the_bound_connections_that_rest_make_room_and_open_requests_do_not(tmp_path: Path) -> None:
+    owner = Owner()
+    limits = {"memory_mb": 192, "sockets": 60}
+    owner.config = config.config({**Deployment(tmp_path, 0).told, "limits": limits})
+    owner.dispatcher = owner
+    around = Clients(owner)
+    states = [IDLE, FRESH, BUSY, IDLE, PARTIAL, IDLE, FRESH, BUSY, IDLE, IDLE, IDLE, PARTIAL, IDLE]
+    now = clock.now()
+    for age, state in enumerate(states):
+        client = Client(socket.socketpair()[0], around, now - (len(states) - age) * 100_000)
+        client.state = state
+        around.open[client] = None
+        if age == 5:
+            around.make_room()
+    around.listener.close()
+    # Six are below the bound: some are closed all the same, since many come together.
+    closed = [client.state == CLOSING for client in around.open]
+    assert closed == [True, True, False, True, False, True] + [False] * 7
+    around.most = 0
+    around.make_room()
+    assert [at for at, client in enumerate(around.open) if client.state != CLOSING] == [2, 4, 7, 11]
+
+
 def test_client_that_leaves_gets_nothing_and_others_go_on(tmp_path: Path) -> None:
     with Deployment(tmp_path, 1).running() as around:
         other = socket.create_connection(around.where)
