--- a/pumicepath/http1/parsing.py
+++ b/pumicepath/http1/parsing.py
@@ -146,7 +146,9 @@
     def field(line: str) -> tuple[str, str]:
         name, colon, value = line.partition(":")
         value = value.strip(" \t")
-        if not colon or not TOKEN.fullmatch(name) or not VALUE.fullmatch(value):
+        # Most values need no more than a look: long ones would cost more than all else together.
+        plain = value.isascii() and value.isprintable()
+        if not colon or not TOKEN.fullmatch(name) or not plain and not VALUE.fullmatch(value):
             raise Malformed(400, "malformed header")
         return name, value
 
@@ -179,7 +181,8 @@
 
     def whole(self) -> Message:
         message = self.message
-        message.body = b"".join(self.parts)
+        message.body = self.parts[0] if len(self.parts) == 1 else b"".join(self.parts)
+        self.ring.rest()
         self.step = START
         self.parts = []
         self.got = self.head = self.left = 0
--- a/pumicepath/http1/ring.py
+++ b/pumicepath/http1/ring.py
@@ -76,8 +76,11 @@
         must(0 <= count <= self.size, "ring underrun")
         self.size -= count
         self.head = (self.head + count) % len(self.store)
+
+    def rest(self) -> None:
+        """Guards the memory limit against many idle connections that once were busy."""
         if not self.size and len(self.store) > FIRST:
-            self.resize(FIRST)  # guards the memory limit against many idle connections that once were busy
+            self.resize(FIRST)
 
     def find(self, what: bytes, start: int = 0) -> int:
         """Where the bytes first stand from `start` on, counted from the oldest; -1 if they do not."""
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -443,6 +443,10 @@
         agreed = self.settings.tariffs[tariff].agreed
         return min(self.settings.most_retry_in, int(agreed * (0.5 + self.chance.share())))
 
+    def bound_retry_in(self, tariff: int) -> int:
+        """For a host at the bound of its connections; it changes nothing, and needs no lock."""
+        return min(self.settings.most_retry_in, self.settings.tariffs[tariff].agreed)
+
     def may_retry(self, one: Submission) -> bool:
         if not one.hops:
             return True
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -21,6 +21,7 @@
 
 # Taken off a client's patience for the way to and fro and for threads that wait their turn.
 ALLOWANCE = 25_000
+LATE = 5_000                # from when a request has waited for its thread
 LONGEST_WRITE = struct.pack("ll", 1, 0)
 SINK = bytearray(256 * 1024)  # what nobody reads goes there; the kernel does not even copy it
 
@@ -33,8 +34,10 @@
 LINGER = 1_000_000          # for the client to close after we did
 # At the bound, from when a connection makes room for a new one: its first bytes are overdue, or it rests.
 CROWDED = {FRESH: 50_000, CLOSING: 100_000, IDLE: 100_000, PARTIAL: 1_000_000}
+LOOK = 5_000                # between two looks for such connections
 EVICTED = 8                 # at a time more than needed, since many come together
 SPARE = 24
+READY_THREADS = 64          # that wait for the next connection at most
 MOST_ERRORS = 3             # in a row, until the connection is closed
 
 
@@ -127,7 +130,10 @@
             return
         if self.owner.crowded():
             # All connections that the limits allow are in use: nothing went out, so trying again is harmless.
-            self.answer(answers.deferred(dispatcher.retry_in(what.tariff)), False)
+            self.answer(answers.deferred(dispatcher.balancer.bound_retry_in(what.tariff)), False)
+            return
+        if clock.now() - arrived > LATE and self.gone():
+            self.enter(CLOSING)  # guards a crowded core: nobody waits for this one any more
             return
         # What was read late was sent early: guards against patience that ends unseen on a crowded core.
         allowance = min(ALLOWANCE, what.patience // 20) + 2 * dispatcher.pace.behind
@@ -190,6 +196,7 @@
         return True
 
     def finish(self) -> None:
+        self.outgoing.rest()
         if not self.keep:
             self.enter(CLOSING)
             self.shut(socket.SHUT_WR)
@@ -238,6 +245,9 @@
         self.open: dict[Client, None] = {}
         self.fresh: dict[Client, None] = {}  # those that have sent nothing yet, the oldest first
         self.refused: Counter[str] = Counter()
+        self.gate = threading.Lock()
+        self.ready = 1
+        self.looked = 0
         family = socket.AF_INET6 if ":" in config.listen.host else socket.AF_INET
         self.listener = socket.socket(family, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -245,29 +255,48 @@
         self.listener.listen(1024)
 
     def run(self) -> None:
+        """Accept a connection, see it through, and accept the next; enough threads stand ready to accept.
+
+        Guards a busy core: a thread begun for each connection would have to be waited for each time.
+        """
+        while True:
+            sock = self.accept()
+            if sock is None:
+                return
+            with self.gate:
+                self.ready -= 1
+                more = self.ready < 1
+                self.ready += more
+            if more:
+                try:
+                    start(self.run)
+                except RuntimeError as trouble:  # those there are go on; the next that ends accepts again
+                    self.dispatcher.events.event("fault", text=f"no thread for a client: {trouble}")
+                    with self.gate:
+                        self.ready -= 1
+            client = Client(sock, self, clock.now())
+            self.open[client] = self.fresh[client] = None
+            if len(self.open) >= self.most or len(self.fresh) > self.most // 3:
+                self.make_room()
+            client.run()
+            with self.gate:
+                if self.ready >= READY_THREADS:
+                    return
+                self.ready += 1
+
+    def accept(self) -> socket.socket | None:
         while True:
+            while len(self.open) >= self.most + SPARE:
+                self.make_room()
+                time.sleep(0.005)  # new ones wait in the listener's queue
             try:
-                sock, _ = self.listener.accept()
+                return self.listener.accept()[0]
             except OSError as trouble:
                 if self.listener.fileno() < 0:
-                    return
+                    return None
                 self.dispatcher.events.event("accept_failed", text=str(trouble))
                 self.make_room()
                 time.sleep(0.01)  # out of descriptors or memory: others must end first
-                continue
-            client = Client(sock, self, clock.now())
-            self.open[client] = self.fresh[client] = None
-            try:
-                start(client.run)
-            except RuntimeError as trouble:
-                self.dispatcher.events.event("fault", text=f"no thread for a client: {trouble}")
-                self.ended(client)
-                sock.close()
-            if len(self.open) >= self.most or len(self.fresh) > self.most // 3:
-                self.make_room()
-                while len(self.open) >= self.most + SPARE:
-                    time.sleep(0.005)  # new ones wait in the listener's queue
-                    self.make_room()
 
     def ended(self, client: Client) -> None:
         self.open.pop(client, None)
@@ -284,6 +313,9 @@
         lost, while a client sends again what crosses the closing of a connection it has used.
         """
         now = clock.now()
+        if now - self.looked < LOOK:
+            return  # guards the core against looking through all of them for each new one
+        self.looked = now
         overdue: list[tuple[bool, int, int, int, Client]] = []
         for client in list(self.open):
             state, since = client.state, client.since
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections import deque
 from collections.abc import Callable
 from heapq import heappop, heappush
 
@@ -21,13 +22,27 @@
 from .servers import Link, Pool
 
 
+class Turn:
+    """A call on the balancer, and what it led to."""
+
+    __slots__ = ("call", "after", "fault", "done")
+
+    def __init__(self, call: Callable[[int], None]) -> None:
+        self.call = call
+        self.after: list[Callable[[], None]] = []
+        self.fault: Exception | None = None
+        self.done: threading.Lock | None = None
+
+
 class Dispatcher:
     def __init__(self, config: Config, log: Log, follow: Callable[[], None]) -> None:
         self.config = config
         self.events = log
         self.on_follow = follow
         self.lock = threading.Lock()
-        self.due = threading.Condition(self.lock)
+        self.waiting: deque[Turn] = deque()
+        self.due = threading.Event()
+        self.rest: float | None = None
         self.alarms: list[tuple[int, int, Wakeable]] = []
         self.set_alarms = 0
         self.after: list[Callable[[], None]] = []
@@ -35,24 +50,52 @@
         self.taken = 0
         self.draining = False
         self.pool = Pool(self, config, log)
-        self.pace = Pace(self)
-        self.traces: dict[str, int] = {}
+        self.traces: set[str] = set()
+        self.expiring: deque[tuple[int, str]] = deque()
         self.balancer = Balancer(config.settings, config.seed, self)
+        self.pace = Pace(self)
 
     # -- the lock and the timers
 
     def decide(self, call: Callable[[int], None]) -> None:
-        """Run a call on the balancer under the lock, then what it led to without it."""
-        fault: Exception | None = None
-        with self.lock:
-            try:
-                call(clock.now())
-            except Exception as trouble:  # told to the caller once what was decided before it is done
-                fault = trouble
-            after, self.after = self.after, []
-        self.act(after)
-        if fault is not None:
-            raise fault
+        """Run a call on the balancer under the lock, then what it led to without it.
+
+        Guards against a convoy: with hundreds of threads at the lock, each would have to wait for the
+        interpreter while it owns it.  Whoever has the lock runs the calls of those that wait, and wakes them.
+        """
+        turn = Turn(call)
+        if self.lock.acquire(False):
+            self.run(turn)
+            self.run_waiting()
+        else:
+            turn.done = threading.Lock()
+            turn.done.acquire()
+            self.waiting.append(turn)
+            if self.lock.acquire(False):  # let go just before
+                self.run_waiting()
+            turn.done.acquire()
+        self.act(turn.after)
+        if turn.fault is not None:
+            raise turn.fault
+
+    def run(self, turn: Turn) -> None:
+        try:
+            turn.call(clock.now())
+        except Exception as trouble:  # told to the caller once what was decided before it is done
+            turn.fault = trouble
+        turn.after, self.after = self.after, []
+
+    def run_waiting(self) -> None:
+        """With the lock, which is free afterwards; what waits then has found it free or is run here."""
+        while True:
+            while self.waiting:
+                turn = self.waiting.popleft()
+                self.run(turn)
+                if turn.done is not None:
+                    turn.done.release()
+            self.lock.release()
+            if not self.waiting or not self.lock.acquire(False):
+                return
 
     def act(self, after: list[Callable[[], None]]) -> None:
         for each in after:
@@ -63,19 +106,19 @@
 
     def run_timers(self) -> None:
         while True:
-            with self.due:
-                now = clock.now()
-                while self.alarms and self.alarms[0][0] <= now:
-                    whom = heappop(self.alarms)[2]
-                    try:
-                        whom.woke(now)
-                    except Exception as trouble:  # the thread answers for all silent servers and must go on
-                        self.events.event("fault", text=f"{type(trouble).__name__}: {trouble}")
-                after, self.after = self.after, []
-                if not after:
-                    self.drop_idle_alarms()
-                    self.due.wait((self.alarms[0][0] - now) / 1e6 if self.alarms else None)
-            self.act(after)
+            self.decide(self.ring)
+            self.due.wait(self.rest)
+            self.due.clear()
+
+    def ring(self, now: int) -> None:
+        while self.alarms and self.alarms[0][0] <= now:
+            whom = heappop(self.alarms)[2]
+            try:
+                whom.woke(now)
+            except Exception as trouble:  # the thread answers for all silent servers and must go on
+                self.events.event("fault", text=f"{type(trouble).__name__}: {trouble}")
+        self.drop_idle_alarms()
+        self.rest = max(0.0, (self.alarms[0][0] - now) / 1e6) if self.alarms else None
 
     def drop_idle_alarms(self) -> None:
         """Guards the core against being woken for each submission that has ended long before its alarms."""
@@ -93,11 +136,12 @@
         Guards a submission that may still run against another one under its id, until its patience is over.
         """
         def call(now: int) -> None:
-            while self.traces and (oldest := next(iter(self.traces.items())))[1] <= now:
-                del self.traces[oldest[0]]
-            if self.traces.get(exchange.trace, 0) > now:
+            while self.expiring and self.expiring[0][0] <= now:
+                self.traces.discard(self.expiring.popleft()[1])
+            if exchange.trace in self.traces:
                 return
-            self.traces[exchange.trace] = exchange.until
+            self.traces.add(exchange.trace)
+            self.expiring.append((exchange.until, exchange.trace))
             self.taken += 1
             exchange.number = self.taken
             self.exchanges[exchange.number] = exchange
@@ -179,10 +223,6 @@
             self.exchanges.pop(exchange.number, None)
         self.decide(call)
 
-    def retry_in(self, tariff: int) -> int:
-        with self.lock:
-            return self.balancer.retry_in(tariff)
-
     def end(self, now: int, hop: Hop, outcome: Outcome) -> None:
         if hop.ended:
             return
@@ -203,6 +243,7 @@
     def forget(self, exchange: Exchange) -> None:
         if exchange.over():
             self.exchanges.pop(exchange.number, None)
+            exchange.hops.clear()  # they know it, and would keep each other until the next collection
 
     def listed(self, kind: Listing, update: Update) -> None:
         def call(now: int) -> None:
@@ -244,7 +285,7 @@
         self.set_alarms += 1
         heappush(self.alarms, (at, self.set_alarms, whom))
         if self.alarms[0][1] == self.set_alarms:
-            self.due.notify()
+            self.due.set()
 
     def log(self, text: str) -> None:
         self.after.append(lambda: self.events.event("mode", text=text))
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -71,7 +71,7 @@
 
     def woke(self, now: int) -> None:
         """Its patience is over: answers for servers that say nothing."""
-        for hop in self.hops:
+        for hop in list(self.hops):
             self.owner.end(now, hop, Outcome.TIMEOUT)
         if not must(self.answered, "no final answer when patience ended"):
             self.owner.answer(self, answers.FORFEITED)
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import ctypes
 import gc
 import os
 import signal
 import sys
 import threading
+from contextlib import suppress
 from dataclasses import replace
 from time import monotonic, sleep
 
@@ -24,6 +26,9 @@
 from .watching import Watcher
 
 STACK = 128 * 1024
+# Of the C library's allocator (malloc.h): one heap for all threads, and no mapping for each large body.
+ONE_HEAP = {"M_ARENA_MAX": (-8, 1), "M_MMAP_THRESHOLD": (-3, 32 << 20), "M_TRIM_THRESHOLD": (-1, 32 << 20)}
+SWITCH = 0.02
 COMING = 0.5                # how long new connections may still come after SIGTERM, with room to spare
 RESTART = ("name", "listen", "connections", "zones", "tariffs", "settings", "pushed", "idle", "dial")
 LAST = 0.5                  # past the longest patience, when to end whatever is left
@@ -35,7 +40,10 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, signals)
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
     threading.stack_size(STACK)
-    sys.setswitchinterval(0.001)  # no thread keeps an answer of another waiting for long
+    keep_one_heap()
+    # Every thread that waits for the interpreter wakes up so often to ask for it: with hundreds of them a
+    # short time takes the whole core, and none is needed, as all of them soon wait for a socket.
+    sys.setswitchinterval(SWITCH)
     log = Log(config.name)
     roster = Roster(config.zones, clock.since_unix_ms)
     known = roster.read(config.known)
@@ -61,6 +69,7 @@
     dispatcher.decide(Watchman(dispatcher, clients).woke)
     gc.collect()
     gc.freeze()
+    gc.set_threshold(10_000)  # what ends with a submission is freed with it; little is left to collect
     host, port = clients.listener.getsockname()[:2]
     log.event("started", listen=f"{host}:{port}", servers=len(known.entries),
               from_clients=config.from_clients, to_servers=config.to_servers,
@@ -71,6 +80,14 @@
     drain(dispatcher, clients, log)
 
 
+def keep_one_heap() -> None:
+    """Guards the memory limit: with a heap for each few threads, each keeps what its largest bodies took."""
+    with suppress(OSError, AttributeError):  # another C library has other ways
+        mallopt = ctypes.CDLL(None).mallopt
+        for option, value in ONE_HEAP.values():
+            mallopt(option, value)
+
+
 def reload(config: Config, path: str, watcher: Watcher, log: Log) -> Config:
     """Read the file again and follow its discovery; what else is new in it waits for the next start."""
     try:
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -22,6 +22,8 @@
 
 DEADLINE = "x-expires-in-ms"
 NEVER_RAN = "X-Never-Ran"
+ENOUGH = 5                  # rests of about one length, from which their resets tell something
+KEPT = 0.99                 # of what is known about rests, from one look at the connections to the next
 MOST_ANSWER = 16 * 1024 * 1024  # what says that it is larger is taken for spoilt
 
 
@@ -83,12 +85,15 @@
         except OSError:
             return Outcome.CONNECT_FAILED, None, False
         try:
-            return self.read(hop)
+            outcome, response, reuse = self.read(hop)
         except Malformed as trouble:
             self.pool.spoilt[str(trouble)] += 1
-            return Outcome.ERROR, None, False
+            outcome, response, reuse = Outcome.ERROR, None, False
         except OSError:
-            return Outcome.RESET, None, False
+            outcome, response, reuse = Outcome.RESET, None, False
+        if self.idle_since:
+            self.pool.rests.note(hop.at - self.idle_since, outcome == Outcome.RESET)
+        return outcome, response, reuse
 
     def connect(self, where: Address) -> None:
         self.sock = sock = socket.socket(socket.AF_INET6 if ":" in where.host else socket.AF_INET)
@@ -104,6 +109,7 @@
         self.outgoing.put(request(hop))
         while len(self.outgoing):
             self.outgoing.drop(self.sock.send(self.outgoing.data()))
+        self.outgoing.rest()
 
     def read(self, hop: Hop) -> tuple[Outcome, Response | None, bool]:
         """Read the answer; what is too large to be held until it is whole is passed on as it comes."""
@@ -181,6 +187,33 @@
                 self.left += size
 
 
+class Rests:
+    """How often a hop is reset that is the first after a rest of its connection, by how long that was.
+
+    Guards hops, unrepeatable ones above all, against servers and what lies before them that drop connections
+    sooner than the settings say, and say nothing.
+    """
+
+    def __init__(self) -> None:
+        self.used = [0.0] * 64
+        self.reset = [0.0] * 64
+
+    def note(self, rest: int, reset: bool) -> None:
+        at = rest.bit_length()
+        self.used[at] += 1
+        self.reset[at] += reset
+
+    def fit(self, rest: int) -> bool:
+        """Whether a connection that has rested so long is about as good as others."""
+        at = rest.bit_length()
+        usual = sum(self.reset) / max(1.0, sum(self.used))
+        return self.used[at] < ENOUGH or self.reset[at] < (2 * usual + 0.1) * self.used[at]
+
+    def forget(self) -> None:
+        self.used = [count * KEPT for count in self.used]
+        self.reset = [count * KEPT for count in self.reset]
+
+
 class Pool:
     """All connections to servers; everything here is called under the dispatcher's lock."""
 
@@ -195,6 +228,7 @@
         self.open = 0
         self.origins: dict[int, Origin] = {}
         self.spoilt: Counter[str] = Counter()
+        self.rests = Rests()
         self.held = Budget(config.held)
 
     def listed(self, update: Update) -> None:
@@ -216,7 +250,8 @@
         idle = self.idle.get(hop.server, [])
         while idle:
             link = idle.pop()
-            if now - link.idle_since < self.retire and link.quiet():
+            rest = now - link.idle_since
+            if rest < self.retire and self.rests.fit(rest) and link.quiet():
                 link.hop = hop
                 return link
             link.kill()
@@ -248,6 +283,7 @@
 
     def woke(self, now: int) -> None:
         """Retire what has stood idle for long, or is no longer of use."""
+        self.rests.forget()
         for idle in list(self.idle.values()):
             for link in list(idle):
                 if now - link.idle_since >= self.retire or not link.quiet():
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -125,6 +125,7 @@
         kept = kept[count:]
     assert ring.put(data) + len(kept) == 3 * FIRST and not len(ring.room())
     ring.drop(len(ring))
+    ring.rest()
     assert len(ring.store) == FIRST
 
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -18,9 +18,11 @@
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.sidecar import clock, config
 from pumicepath.sidecar.clients import BUSY, CLOSING, FRESH, IDLE, PARTIAL, Client, Clients
+from pumicepath.sidecar.dispatch import Dispatcher
 from pumicepath.sidecar.exchange import Exchange, Hop
+from pumicepath.sidecar.log import Log
 from pumicepath.sidecar.pace import Pace
-from pumicepath.sidecar.servers import Pool
+from pumicepath.sidecar.servers import Pool, Rests
 from pumicepath.sidecar.watching import Watcher
 
 from .helpers import Deployment, Peer, answer, compare, entry, next_of
@@ -196,7 +198,7 @@
     # Six are below the bound: some are closed all the same, since many come together.
     closed = [client.state == CLOSING for client in around.open]
     assert closed == [True, True, False, True, False, True] + [False] * 7
-    around.most = 0
+    around.most = around.looked = 0
     around.make_room()
     assert [at for at, client in enumerate(around.open) if client.state != CLOSING] == [2, 4, 7, 11]
 
@@ -379,6 +381,51 @@
     assert used == [True, False, False, False] and pool.open == 4
 
 
+def test_rests_after_which_hops_are_reset_are_learnt_and_forgotten(tmp_path: Path) -> None:
+    rests = Rests()
+    for step in range(200):
+        rests.note(1000, step % 10 == 0)
+        if step < 20:
+            rests.note(300_000, step % 2 == 0)
+    fits = [[rests.fit(rest) for rest in (1000, 300_000, 5_000_000)]]
+    for _ in range(200):
+        rests.forget()
+    fits.append([rests.fit(300_000)])
+    assert fits == [[True, False, True], [True]]
+
+
+def test_calls_made_while_the_lock_is_taken_are_run_by_its_owner_with_their_own_acts(
+    tmp_path: Path,
+) -> None:
+    dispatcher = Dispatcher(config.config(Deployment(tmp_path, 0).told), Log("n0"), None)
+    order: list = []
+
+    def waits(name: str) -> None:
+        def call(now: int) -> None:
+            order.append(f"{name} run by {threading.current_thread().name}")
+            dispatcher.after.append(lambda: order.append(f"act of {threading.current_thread().name}"))
+            if name == "fault":
+                raise ValueError(name)
+        try:
+            dispatcher.decide(call)
+        except ValueError as trouble:
+            order.append(f"{trouble} told to {threading.current_thread().name}")
+
+    others = [threading.Thread(target=waits, args=(name,), name=name) for name in ("one", "fault")]
+
+    def owner(now: int) -> None:
+        for at, thread in enumerate(others, 1):
+            thread.start()
+            while len(dispatcher.waiting) < at:
+                pass
+    dispatcher.decide(owner)
+    for thread in others:
+        thread.join()
+    assert order[:2] == ["one run by MainThread", "fault run by MainThread"]
+    assert sorted(order[2:]) == ["act of fault", "act of one", "fault told to fault"]
+    assert dispatcher.lock.acquire(False) and not dispatcher.waiting
+
+
 def test_list_nested_too_deep_for_a_small_stack_is_only_a_failed_call(tmp_path: Path) -> None:
     around = Deployment(tmp_path, 1)
     around.lists.put(answer(200, "[" * 30_000 + "]" * 30_000))
