--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -26,9 +26,11 @@
 QUEUED = 3.0                # usual times from which a hop has met a queue, and
 QUEUED_PART = 0.3           # the part of its agreed time that it must have taken too
 BROKEN_OFF = 0.25           # part of the agreed time within which an answer that has begun must be whole
-STALL = 1.0                 # usual times from which a hop still out marks its server as stalled
+STALL = 1.0                 # usual times from which a hop still out marks its server as stalled, and
+STALL_PART = 0.1            # the part of its agreed time that it must be out too
 TARDY = 0.7                 # part of the agreed time from which a hop is tardy
 JAM = 0.4                   # share of tardy or queued hops that cuts what may be out
+SOME = 0.05                 # share of tardy hops from which the middle server's queue counts
 GROWTH = 0.12               # how fast the limit rises, as a part of it for each usual time
 ILL = 0.25                  # share of failures that opens a breaker, and
 ILL_ABOVE = 2.0             # so many times the middle server's on top of that
@@ -424,7 +426,8 @@
         self.tardy += min(0.2, max(0.06, self.gap / MEMORY)) * (tardy - self.tardy)
         self.queued[hop.server] += 0.2 * (queued - self.queued[hop.server])
         middle = sorted(self.queued[at] for at in self.ready)[len(self.ready) // 2]
-        if self.tardy > JAM or middle > JAM:
+        # Some must be tardy too: guards against taking a release, whose new servers know no key, for a jam.
+        if self.tardy > JAM or middle > JAM and self.tardy > SOME:
             self.shrunk = now
             self.calm_room = 0.7 * min(self.room, max(level, hop.level))
             if self.room == math.inf:
@@ -584,7 +587,7 @@
         self.all_in_flight += 1
         if self.warmth(now, at) < 1.0:
             self.sent_cold[at].append(now)
-        due = now + int(STALL * self.usual[tariff])
+        due = now + int(max(STALL * self.usual[tariff], STALL_PART * self.settings.tariffs[tariff].agreed))
         hop = Hop(now, due, at, self.zone[at], self.cell[at], self.generation[at], trial, level)
         self.out[at].append(hop)
         return hop
