--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -26,11 +26,11 @@
 SINK = bytearray(256 * 1024)  # what nobody reads goes there; the kernel does not even copy it
 
 FRESH, PARTIAL, BUSY, IDLE, CLOSING = range(5)
-SWEEP = 200_000
+SWEEP = 100_000
 SILENT = 2_000_000          # until a connection that has sent nothing is closed
 UNFINISHED = 2_000_000      # until a request that has begun must be whole
 IDLE_LONG = 15_000_000      # between requests, while there is room
-IDLE_SHORT = 2_000_000      # and while more than half of it is taken
+IDLE_SHORT = 300_000        # and while more than a third of it is taken
 LINGER = 1_000_000          # for the client to close after we did
 # At the bound, from when a connection makes room for a new one: its first bytes are overdue, or it rests.
 CROWDED = {FRESH: 50_000, CLOSING: 100_000, IDLE: 100_000, PARTIAL: 1_000_000}
@@ -130,6 +130,7 @@
             return
         if self.owner.crowded():
             # All connections that the limits allow are in use: nothing went out, so trying again is harmless.
+            self.owner.refused["no room"] += 1
             self.answer(answers.deferred(dispatcher.balancer.bound_retry_in(what.tariff)), False)
             return
         if clock.now() - arrived > LATE and self.gone():
@@ -336,8 +337,9 @@
         self.dispatcher.wake(now + SWEEP, self)
 
     def sweep(self) -> None:
+        # Guards clients whose own connections are used up by those among them that ask once and stay.
         now = clock.now()
-        idle = IDLE_LONG if len(self.open) <= self.most // 2 else IDLE_SHORT
+        idle = IDLE_LONG if len(self.open) <= self.most // 3 else IDLE_SHORT
         longest = {FRESH: SILENT, PARTIAL: UNFINISHED, IDLE: idle, CLOSING: LINGER}
         for client in list(self.open):
             state = client.state
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -195,6 +195,15 @@
         if age == 5:
             around.make_room()
     around.listener.close()
+    few, many = Clients(owner), Clients(owner)
+    for resting, count in ((few, 2), (many, 3)):
+        resting.listener.close()
+        for _ in range(count):
+            client = Client(socket.socketpair()[0], resting, now - 400_000)
+            client.state = IDLE
+            resting.open[client] = None
+        resting.sweep()
+    assert [client.state for client in [*few.open, *many.open]] == [IDLE] * 2 + [CLOSING] * 3
     # Six are below the bound: some are closed all the same, since many come together.
     closed = [client.state == CLOSING for client in around.open]
     assert closed == [True, True, False, True, False, True] + [False] * 7
