Live weights are no sizes: nominal ones are kept by kind, and a renewal moves no draw

Cause: note() wrote the listed scale, size / (1 + held a core), into the order and the cold turns: servers swung between empty and full with each renewal (recorded lists: 3.5, 0.63, 3.5, 0.88 ...), and a cold, empty server's part was up to three times its own. Change: the largest scale listed of a kind is its size; a scale alone updates what is held and nothing else.

--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -69,6 +69,7 @@
     scale: float
     came_up: int
     name: str = ""
+    kind: int = 0
 
 
 @dataclass(frozen=True)
@@ -98,6 +99,9 @@
     cold_for: int
     fall_multiple: float
     fall_window: int
+    live: bool = False                  # whether a listed scale falls with what the server holds
+    connection_price: float = 0.0       # for each open connection of a server, over 100
+    quotas: tuple[float, ...] = ()      # submissions a second of each tenant, at all sidecars together
 
 
 class Wakeable(Protocol):
@@ -118,6 +122,9 @@
 
     def probe(self, server: int) -> None: ...
 
+    def free_links(self, server: int) -> None:
+        """Close the idle connections to a server."""
+
     def follow(self) -> None: ...
 
     def wake(self, at: int, whom: Wakeable) -> None: ...
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -234,6 +234,8 @@
         self.cell: list[int] = []
         self.phase: list[Phase] = []
         self.scale: list[float] = []
+        self.held: list[float] = []  # submissions a core, as last listed, where scales fall with them
+        self.sizes: dict[int, float] = {}  # the largest scale listed of each kind of server
         self.came_up: list[int] = []
         self.told_up: list[int] = []
         self.salt: list[int] = []
@@ -298,18 +300,24 @@
         else:
             self.asking = False
             self.following = True
-        if kind != Listing.CHANGES:
+        changed = kind != Listing.CHANGES
+        if changed:
             named = {entry.server for entry in entries}
             for server, at in self.index.items():
                 if server not in named:
                     self.phase[at] = Phase.GONE
         for entry in entries:
-            if entry.phase != Phase.GONE or entry.server in self.index:
+            at = self.index.get(entry.server, -1)
+            if at >= 0 and entry.phase == self.phase[at] and entry.came_up == self.told_up[at]:
+                self.weigh(at, entry)  # all that a renewal of live scales costs
+            elif entry.phase != Phase.GONE or at >= 0:
                 self.note(now, entry)
-        for at in [at for at in self.index.values() if self.phase[at] == Phase.GONE]:
-            self.forget(at)
-        self.ready = [at for at, phase in enumerate(self.phase) if phase == Phase.READY]
-        self.draws.clear()
+                changed = True
+        if changed:
+            for at in [at for at in self.index.values() if self.phase[at] == Phase.GONE]:
+                self.forget(at)
+            self.ready = [at for at, phase in enumerate(self.phase) if phase == Phase.READY]
+            self.draws.clear()
 
     def forget(self, at: int) -> None:
         """Nothing is kept of a server that is gone once no hop to it is out: new ones come for ever."""
@@ -329,7 +337,7 @@
                                self.generation, self.trials, self.lag_at, self.came_up, self.told_up,
                                self.cooldown):
                     column.append(0)
-                for shares in (self.scale, self.ill, self.queued, self.lag):
+                for shares in (self.scale, self.held, self.ill, self.queued, self.lag):
                     shares.append(0.0)
                 self.phase.append(Phase.GONE)
                 self.names.append("")
@@ -361,7 +369,21 @@
         self.zone[at] = entry.zone
         self.cell[at] = entry.cell
         self.phase[at] = entry.phase
-        self.scale[at] = entry.scale if entry.scale > 0 else 1.0
+        self.weigh(at, entry)
+
+    def weigh(self, at: int, entry: Entry) -> None:
+        """Take a listed scale for a size, or, where it falls with what the server holds, for what it holds.
+
+        Guards keys against moving with each renewal, and cold servers, empty still, against looking large.
+        """
+        scale = entry.scale if 0.0 < entry.scale < math.inf else 1.0
+        if not self.settings.live:
+            self.scale[at] = scale
+            return
+        if scale > self.sizes.get(entry.kind, 0.0):
+            self.sizes[entry.kind] = scale
+        self.scale[at] = self.sizes[entry.kind]
+        self.held[at] = self.scale[at] / scale - 1.0
 
     def started(self, now: int, entry: Entry) -> int:
         """When a listed server came up, as far as that can be.
@@ -379,7 +401,8 @@
 
     # -- taking
 
-    def take(self, now: int, name: int, tariff: int, key: int, retry: bool, until: int) -> Submission:
+    def take(self, now: int, name: int, tariff: int, key: int, retry: bool, until: int,
+             tenant: int = 0) -> Submission:
         """Take a submission; `until` is when its client gives up, a key of 0 means none."""
         one = Submission(self, name, tariff, key, retry, until)
         if key:
--- a/pumicepath/settings.py
+++ b/pumicepath/settings.py
@@ -30,6 +30,9 @@
         cold_for=math.ceil(rules.get("coldS", 0.0) * 1e6),
         fall_multiple=rules.get("fallMultiple", 1.0),
         fall_window=math.ceil(rules.get("overloadForS", 1.0) * 1e6),
+        live=info.get("weights") == "live",
+        connection_price=info.get("prices", {}).get("connection", 0.0),
+        quotas=tuple(float(entry.get("quotaPerS", 0.0)) for entry in info.get("tenants", [])),
     )
 
 
--- a/pumicepath/wirehost/host.py
+++ b/pumicepath/wirehost/host.py
@@ -12,7 +12,7 @@
 from . import frames
 from .frames import Malformed, Reply
 
-PROBE, SHED, PRINT, FOLLOW, TRANSMIT, WAKE, FAIL, REVOKE, DIE = 1, 2, 3, 4, 6, 7, 8, 9, 12
+PROBE, SHED, PRINT, FOLLOW, FREE, TRANSMIT, WAKE, FAIL, REVOKE, DIE = 1, 2, 3, 4, 5, 6, 7, 8, 9, 12
 OUTCOMES = {
     0: Outcome.OK, 5: Outcome.ERROR, 11: Outcome.FULL, 110: Outcome.TIMEOUT, 111: Outcome.CONNECT_FAILED,
     104: Outcome.RESET, 125: Outcome.CANCELLED, 114: Outcome.MOOT,
@@ -49,6 +49,9 @@
     def probe(self, server: int) -> None:
         self.host.reply.add(PROBE, "HI", self.number, server)
 
+    def free_links(self, server: int) -> None:
+        self.host.reply.add(FREE, "HI", self.number, server)
+
     def follow(self) -> None:
         self.host.reply.add(FOLLOW, "HB", self.number, 1)
 
@@ -86,10 +89,10 @@
     def sheet(self, tail: memoryview, number: int, offset: int, count: int) -> None:
         data = frames.part(tail, offset, count * frames.ENTRY)
         entries = []
-        for server, zone, _, cell, phase, scale, up in frames.ENTRY_FIELDS.iter_unpack(data):
+        for server, zone, kind, cell, phase, scale, up in frames.ENTRY_FIELDS.iter_unpack(data):
             if phase > Phase.DRAINING:
                 raise Malformed(f"unknown phase {phase} of a server")
-            entries.append(Entry(server, zone, cell, Phase(phase), scale, micros(up)))
+            entries.append(Entry(server, zone, cell, Phase(phase), scale, micros(up), "", kind))
         self.sheets[number] = entries
 
     def event(self, now: int, code: int, tail: memoryview, fields: tuple) -> None:
@@ -109,9 +112,9 @@
         if instance is None:
             return
         if code == frames.INGRESS:
-            _, name, _, key, marks, _, until, tariff = fields
+            _, name, tenant, key, marks, _, until, tariff = fields
             instance.handles[name] = instance.balancer.take(
-                now, name, tariff, key, bool(marks & 2), micros(until))
+                now, name, tariff, key, bool(marks & 2), micros(until), tenant)
         elif code == frames.REPORT:
             _, name, complete, status, spent, _, hop = fields
             if status not in OUTCOMES:
