Where connections cost, each sidecar uses a stable subset of the servers

Order by key alone spread each sidecar over all of them. Change: the first servers of an order of the sidecar's own, as many as price, sidecars and servers allow by a square root; one that refuses stays for its trials and the next stands in. Cold turns grow by what the subset leaves out. Cheap crossings count nearly in full.

--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -38,6 +38,9 @@
 COLD_PART = 0.55             # of what the rules let all sidecars together send to a cold server
 GOLDEN = 0.6180339887498949  # its multiples fill the unit interval evenly, however many are taken
 SILVER = 0.41421356237309515  # so do these; no sum of multiples of both comes twice
+SPREAD = 0.06               # worth of choice, held against the price of connections, for how many servers one uses
+FEWEST = 4                  # servers that a sidecar uses at least, where connections cost
+NEAR_ENOUGH = 0.08          # crossing price from which other zones count least
 RECENT = 64                 # submissions among which a key is judged popular
 HOT = 2.0                   # times a server's fair part from which a key is spread
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
@@ -240,6 +243,8 @@
         self.told_up: list[int] = []
         self.salt: list[int] = []
         self.ready: list[int] = []
+        self.near: list[int] = []  # those of them that this sidecar uses
+        self.quota = sum(settings.quotas) / 1e6
         # The breakers.
         self.state: list[int] = []
         self.fails: list[int] = []
@@ -317,7 +322,29 @@
             for at in [at for at in self.index.values() if self.phase[at] == Phase.GONE]:
                 self.forget(at)
             self.ready = [at for at, phase in enumerate(self.phase) if phase == Phase.READY]
+            self.choose_near(True)
+
+    def choose_near(self, changed: bool = False) -> None:
+        """The servers that this sidecar uses: all, or, where connections cost, the first of an order of its own.
+
+        Guards servers that take few connections, each of which costs, against hundreds of sidecars.  One whose
+        breaker is not closed stays among them for its trials, and the next in the order stands in for it.
+        """
+        ready = self.ready
+        price = self.settings.connection_price * self.settings.fleet
+        most = max(FEWEST, math.ceil(math.sqrt(SPREAD * 100 * len(ready) / price))) if price > 0 else len(ready)
+        if most < len(ready):
+            mine = mix(self.settings.me + 1)
+            near = []
+            for _, at in sorted((mix(mine ^ self.salt[at]), at) for at in ready):
+                near.append(at)
+                most -= self.state[at] == CLOSED
+                if most <= 0:
+                    break
+            ready = sorted(near)
+        if ready != self.near or changed:
             self.draws.clear()
+        self.near = ready
 
     def forget(self, at: int) -> None:
         """Nothing is kept of a server that is gone once no hop to it is out: new ones come for ever."""
@@ -514,7 +541,7 @@
         order = []
         cold = []
         foreign = self.foreign()
-        for at, draw in zip(self.ready, self.draws_of(one.key)):
+        for at, draw in zip(self.near, self.draws_of(one.key)):
             if at in tried or bound is not None and not self.same_group(tariff.group, bound, at):
                 continue
             if self.came_up[at] and self.warmth(now, at) < 1.0:
@@ -562,7 +589,7 @@
         draws = self.draws.get(key)
         if draws is None:
             seed = mix(key) if key else self.chance.bits() << 20
-            draws = [-math.log((mix(seed ^ self.salt[at]) + 1) / (MASK + 2)) for at in self.ready]
+            draws = [-math.log((mix(seed ^ self.salt[at]) + 1) / (MASK + 2)) for at in self.near]
             if key in self.met:
                 self.draws[key] = draws
         return draws
@@ -570,7 +597,9 @@
     def foreign(self) -> float:
         """What a server of another zone counts for: little, until lateness costs more than crossing does."""
         price = self.settings.crossing_price
-        return 1.0 if price <= 0.0 else min(1.0, max(0.05, 0.5 * self.tardy / price))
+        if price <= 0.0:
+            return 1.0
+        return min(1.0, max(0.05, 1.0 - price / NEAR_ENOUGH, 0.5 * self.tardy / price))
 
     def same_group(self, group: Group, first: Hop, at: int) -> bool:
         return self.zone[at] == first.zone if group == Group.ZONE else self.cell[at] == first.cell
@@ -590,7 +619,9 @@
         traffic: it is not in the order, and each sidecar sends it an even part of all that it takes.
         """
         limit = COLD_PART * self.settings.fall_multiple * self.warmth(now, at) * times
-        if (self.turn + self.salt[at] / MASK) % 1.0 >= limit * self.scale[at] / total:
+        part = self.scale[at] / total
+        fewer = len(self.near) / len(self.ready)  # of the sidecars use it, each for as many others
+        if (self.turn + self.salt[at] / MASK) % 1.0 >= limit * part / fewer:
             return False
         sent = self.sent_cold[at]
         while sent and sent[0] <= now - self.settings.fall_window:
@@ -642,6 +673,7 @@
         self.cooldown[at] = int(min(LONGEST_COOLDOWN, wait) * apart)
         self.state[at] = OPEN
         self.since[at] = now
+        self.choose_near()
         self.generation[at] += 1
         self.trials[at] = self.fails[at] = 0
         self.outlet.log(f"server {self.names[at]} open for {self.cooldown[at] / 1e6:.1f} s: {cause}")
@@ -660,6 +692,7 @@
             else:
                 self.state[at] = CLOSED
                 self.fails[at] = 0
+                self.choose_near()
                 self.outlet.log(f"server {self.names[at]} closed after a trial")
         elif failed:
             self.fails[at] += 1
