The shared limit: what all servers hold sets how much is turned away

Change: where scales are live, the limit leans and integrates on what all hold against what the middle hop bears; pace and excess go to two others at each renewal and are averaged.

--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -101,6 +101,7 @@
     fall_window: int
     live: bool = False                  # whether a listed scale falls with what the server holds
     connection_price: float = 0.0       # for each open connection of a server, over 100
+    may_tell: bool = False              # whether sidecars may send each other messages
     quotas: tuple[float, ...] = ()      # submissions a second of each tenant, at all sidecars together
 
 
@@ -122,6 +123,9 @@
 
     def probe(self, server: int) -> None: ...
 
+    def tell(self, peer: int, data: bytes) -> None:
+        """Send a short message to another sidecar, by its number; it may be lost."""
+
     def free_links(self, server: int) -> None:
         """Close the idle connections to a server."""
 
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import struct
 from collections import deque
 from collections.abc import Sequence
 from heapq import heapify, heappop, nsmallest
@@ -38,6 +39,12 @@
 COLD_PART = 0.55             # of what the rules let all sidecars together send to a cold server
 GOLDEN = 0.6180339887498949  # its multiples fill the unit interval evenly, however many are taken
 SILVER = 0.41421356237309515  # so do these; no sum of multiples of both comes twice
+BEARABLE = 0.55             # part of the agreed time that the middle hop may take before less is taken on
+BASE = 1.5                  # held a core that a hop takes as long for as for its own work and ways
+LEAN, GATHER = 0.35, 0.08   # what a renewal turns away of what is too much, at once and for each second of it
+PEERS = 2                   # others that are told at each renewal
+HINT = struct.Struct("<BHH")  # a message to another sidecar: its version, pace, excess
+VERSION, FINE = 1, 1 << 14
 SPREAD = 0.06               # worth of choice, held against the price of connections, for how many servers one uses
 FEWEST = 4                  # servers that a sidecar uses at least, where connections cost
 NEAR_ENOUGH = 0.08          # crossing price from which other zones count least
@@ -285,6 +292,14 @@
         self.calm_room = math.inf
         self.shrunk = 0
         self.tardy = 0.0
+        # Where live scales tell what servers hold: that a core, the middle hop's part of its agreed time
+        # for each of these, and what is turned away.
+        self.crowd = 0.0
+        self.pace = 0.12
+        self.excess = 0.0
+        self.renewed_at = 0
+        self.ignored = 0
+        self.drop = 0.0
         # Asking for the list.
         self.following = not settings.must_ask
         self.asking = False
@@ -323,6 +338,31 @@
                 self.forget(at)
             self.ready = [at for at, phase in enumerate(self.phase) if phase == Phase.READY]
             self.choose_near(True)
+        if self.settings.live and kind != Listing.CACHED:
+            self.renewed(now)
+
+    def renewed(self, now: int) -> None:
+        """Judge by what all servers hold how much of what comes is too much.
+
+        Guards a pool of sidecars, each of which sees too little itself, against crowding servers all together.
+        """
+        mass = sum(self.scale[at] for at in self.ready) or 1.0
+        self.crowd += 0.5 * (sum(self.scale[at] * self.held[at] for at in self.ready) / mass - self.crowd)
+        goal = max(1.0, BEARABLE / self.pace - BASE)
+        over = max(-1.0, min(2.0, self.crowd / goal - 1.0))
+        since = min(1.0, (now - self.renewed_at) / 1e6)
+        self.renewed_at = now
+        before = self.drop
+        self.excess = min(0.95, max(0.0, self.excess + GATHER * over * since))
+        self.drop = min(0.95, max(0.0, self.excess + LEAN * over))
+        if self.settings.may_tell and self.settings.fleet > 1:
+            hint = HINT.pack(VERSION, min(65535, int(self.pace * FINE)), int(self.excess * FINE))
+            for _ in range(PEERS):
+                peer = self.chance.bits() % (self.settings.fleet - 1)
+                self.outlet.tell(peer + (peer >= self.settings.me), hint)
+        if (before > 0.0) != (self.drop > 0.0):
+            self.outlet.log(f"limit {'on' if self.drop > 0.0 else 'off'}: {self.crowd:.2f} held a core of "
+                            f"{goal:.2f} bearable")
 
     def choose_near(self, changed: bool = False) -> None:
         """The servers that this sidecar uses: all, or, where connections cost, the first of an order of its own.
@@ -346,6 +386,18 @@
             self.draws.clear()
         self.near = ready
 
+    def told(self, now: int, sender: int, data: bytes) -> None:
+        """A message of another sidecar: a hint, which may be late, garbled or from a build of another time.
+
+        Guards sidecars that judge more strictly than most against giving way to all others: judgements meet.
+        """
+        if len(data) != HINT.size or data[0] != VERSION or not self.settings.may_tell:
+            self.ignored += 1
+            return
+        _, pace, excess = HINT.unpack(data)
+        self.pace += 0.5 * (min(4.0, max(0.01, pace / FINE)) - self.pace)
+        self.excess += 0.5 * (min(0.95, excess / FINE) - self.excess)
+
     def forget(self, at: int) -> None:
         """Nothing is kept of a server that is gone once no hop to it is out: new ones come for ever."""
         if self.phase[at] == Phase.GONE and not self.out[at] and self.index.get(self.ids[at]) == at:
@@ -458,13 +510,15 @@
 
     def turned_away(self, now: int, one: Submission) -> bool:
         """Close to the limit of what may be out, submissions are turned away by chance, cheap ones sooner."""
-        if self.room == math.inf:
+        if self.room == math.inf and self.drop <= 0.0:
             return False
         values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
         value = min(2.0, max(0.5, values[one.tariff] * len(values) / sum(values)))
         if one.retry:
             # Guards the room against submissions that come back when most of their agreed time has passed.
             value *= max(0.2, self.settings.tariffs[one.tariff].late_gain)
+        if self.settings.live:
+            return self.chance.share() < self.drop ** value
         load = (min(self.level_now(now), self.all_in_flight) + self.usual[one.tariff] / self.span) / self.room
         return self.chance.share() < (load - 1.0) / 0.25 + min(4.0, 1.0 / value)
 
@@ -486,6 +540,10 @@
         """
         if hop.at <= self.shrunk or hop.server not in self.ready:
             return
+        if self.settings.live:
+            slower = spent > self.pace * (BASE + self.crowd) * self.settings.tariffs[tariff].agreed
+            self.pace *= 1.06 if slower else 1.0 / 1.06
+            return
         level = self.level_now(now)
         agreed = self.settings.tariffs[tariff].agreed
         tardy = spent > TARDY * agreed
--- a/pumicepath/settings.py
+++ b/pumicepath/settings.py
@@ -32,6 +32,7 @@
         fall_window=math.ceil(rules.get("overloadForS", 1.0) * 1e6),
         live=info.get("weights") == "live",
         connection_price=info.get("prices", {}).get("connection", 0.0),
+        may_tell=bool(limits.get("mayTell", False)),
         quotas=tuple(float(entry.get("quotaPerS", 0.0)) for entry in info.get("tenants", [])),
     )
 
--- a/pumicepath/wirehost/host.py
+++ b/pumicepath/wirehost/host.py
@@ -12,7 +12,7 @@
 from . import frames
 from .frames import Malformed, Reply
 
-PROBE, SHED, PRINT, FOLLOW, FREE, TRANSMIT, WAKE, FAIL, REVOKE, DIE = 1, 2, 3, 4, 5, 6, 7, 8, 9, 12
+PROBE, SHED, PRINT, FOLLOW, FREE, TRANSMIT, WAKE, FAIL, REVOKE, TELL, DIE = 1, 2, 3, 4, 5, 6, 7, 8, 9, 11, 12
 OUTCOMES = {
     0: Outcome.OK, 5: Outcome.ERROR, 11: Outcome.FULL, 110: Outcome.TIMEOUT, 111: Outcome.CONNECT_FAILED,
     104: Outcome.RESET, 125: Outcome.CANCELLED, 114: Outcome.MOOT,
@@ -49,6 +49,10 @@
     def probe(self, server: int) -> None:
         self.host.reply.add(PROBE, "HI", self.number, server)
 
+    def tell(self, peer: int, data: bytes) -> None:
+        self.host.reply.add(TELL, "HIII", self.number, peer, len(self.host.reply.tail), len(data))
+        self.host.reply.tail += data
+
     def free_links(self, server: int) -> None:
         self.host.reply.add(FREE, "HI", self.number, server)
 
@@ -144,6 +148,9 @@
             handle = instance.handles.get(fields[1])
             if handle is not None:
                 handle.started(now, fields[2])
+        elif code == frames.DATAGRAM:
+            _, sender, offset, size = fields
+            instance.balancer.told(now, sender, bytes(frames.part(tail, offset, size)))
         elif code == frames.PROBED and fields[2] not in OUTCOMES:
             raise Malformed(f"unknown outcome {fields[2]}")
 
