A server that holds much loses part of its place in the order; cold budgets from quotas

Change: part of the size that counts in the order, down while the server holds more than 1.5 times the fleet, back slowly; tokens a sidecar and cold server from what tenants may ask for; a full answer counts as slow.

--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -42,6 +42,8 @@
 BEARABLE = 0.55             # part of the agreed time that the middle hop may take before less is taken on
 BASE = 1.5                  # held a core that a hop takes as long for as for its own work and ways
 LEAN, GATHER = 0.35, 0.08   # what a renewal turns away of what is too much, at once and for each second of it
+SPARED = 1.5                # times what the fleet holds a core from which a server is spared, one a core at least
+SPARE, REGAIN = 0.4, 0.15   # how fast it loses of its part in the order with each second, and has it back
 PEERS = 2                   # others that are told at each renewal
 HINT = struct.Struct("<BHH")  # a message to another sidecar: its version, pace, excess
 VERSION, FINE = 1, 1 << 14
@@ -245,6 +247,9 @@
         self.phase: list[Phase] = []
         self.scale: list[float] = []
         self.held: list[float] = []  # submissions a core, as last listed, where scales fall with them
+        self.part: list[float] = []  # of its size that counts in the order, less while it holds much
+        self.tokens: list[float] = []  # what may be sent to a cold server at once
+        self.tokens_at: list[int] = []
         self.sizes: dict[int, float] = {}  # the largest scale listed of each kind of server
         self.came_up: list[int] = []
         self.told_up: list[int] = []
@@ -346,12 +351,18 @@
 
         Guards a pool of sidecars, each of which sees too little itself, against crowding servers all together.
         """
+        since = min(1.5, (now - self.renewed_at) / 1e6)
+        self.renewed_at = now
         mass = sum(self.scale[at] for at in self.ready) or 1.0
         self.crowd += 0.5 * (sum(self.scale[at] * self.held[at] for at in self.ready) / mass - self.crowd)
         goal = max(1.0, BEARABLE / self.pace - BASE)
+        bearable = max(1.0, SPARED * self.crowd)
+        for at in self.ready:
+            # Guards servers that are slower than their size tells, and those beside them, by moving some keys on.
+            more = min(2.0, self.held[at] / bearable - 1.0)
+            gain = -SPARE * more if more > 0.0 else REGAIN
+            self.part[at] = min(1.0, max(0.03, self.part[at] * math.exp(gain * since)))
         over = max(-1.0, min(2.0, self.crowd / goal - 1.0))
-        since = min(1.0, (now - self.renewed_at) / 1e6)
-        self.renewed_at = now
         before = self.drop
         self.excess = min(0.95, max(0.0, self.excess + GATHER * over * since))
         self.drop = min(0.95, max(0.0, self.excess + LEAN * over))
@@ -414,9 +425,9 @@
                 at = len(self.ids)
                 for column in (self.ids, self.salt, self.zone, self.cell, self.state, self.fails, self.since,
                                self.generation, self.trials, self.lag_at, self.came_up, self.told_up,
-                               self.cooldown):
+                               self.cooldown, self.tokens_at):
                     column.append(0)
-                for shares in (self.scale, self.held, self.ill, self.queued, self.lag):
+                for shares in (self.scale, self.held, self.part, self.tokens, self.ill, self.queued, self.lag):
                     shares.append(0.0)
                 self.phase.append(Phase.GONE)
                 self.names.append("")
@@ -430,7 +441,7 @@
             self.state[at] = CLOSED
             self.fails[at] = self.since[at] = self.trials[at] = self.lag_at[at] = self.cooldown[at] = 0
             self.ill[at] = self.queued[at] = 0.0
-            self.lag[at] = 1.0
+            self.lag[at] = self.part[at] = 1.0
             self.late[at] = False
             self.sent_cold[at].clear()
             self.told_up[at] = entry.came_up
@@ -444,7 +455,8 @@
             self.generation[at] += 1
             self.cooldown[at] = 0
             self.ill[at] = 0.0
-            self.lag[at] = 1.0
+            self.lag[at] = self.part[at] = 1.0
+            self.tokens[at] = self.chance.share()
         self.zone[at] = entry.zone
         self.cell[at] = entry.cell
         self.phase[at] = entry.phase
@@ -605,7 +617,7 @@
             if self.came_up[at] and self.warmth(now, at) < 1.0:
                 cold.append(at)
                 continue
-            weight = self.scale[at]
+            weight = self.scale[at] * self.part[at]
             if self.zone[at] != self.settings.zone:
                 weight *= foreign
             order.append((draw / weight, at))
@@ -677,10 +689,17 @@
         traffic: it is not in the order, and each sidecar sends it an even part of all that it takes.
         """
         limit = COLD_PART * self.settings.fall_multiple * self.warmth(now, at) * times
-        part = self.scale[at] / total
+        part = self.scale[at] * self.part[at] / total
         fewer = len(self.near) / len(self.ready)  # of the sidecars use it, each for as many others
         if (self.turn + self.salt[at] / MASK) % 1.0 >= limit * part / fewer:
             return False
+        if self.quota > 0.0:
+            # What tenants may ask for tells what the fleet can do: guards a cold server against all that clients
+            # repeat, and against a sidecar that carries far more than others.
+            rate = limit * part * self.quota / (fewer * self.settings.fleet)
+            self.tokens[at] = min(1.0, self.tokens[at] + rate * (now - self.tokens_at[at]))
+            self.tokens_at[at] = now
+            return self.tokens[at] >= 1.0
         sent = self.sent_cold[at]
         while sent and sent[0] <= now - self.settings.fall_window:
             sent.popleft()
@@ -717,7 +736,9 @@
         level = self.level_now(now) + self.usual[tariff] / self.span
         self.all_in_flight += 1
         if self.warmth(now, at) < 1.0:
-            self.sent_cold[at].append(now)
+            self.tokens[at] -= 1.0
+            if self.quota <= 0.0:
+                self.sent_cold[at].append(now)
         due = now + int(max(STALL * self.usual[tariff], STALL_PART * self.settings.tariffs[tariff].agreed))
         hop = Hop(now, due, at, self.zone[at], self.cell[at], self.generation[at], trial, level)
         self.out[at].append(hop)
@@ -782,12 +803,18 @@
             self.answered(now, tariff, hop, spent)
         elif outcome == Outcome.TIMEOUT and spent >= self.settings.tariffs[tariff].agreed:
             self.overdue(now, tariff, hop)
+        elif outcome == Outcome.FULL and self.settings.live:
+            self.pace = min(4.0, self.pace * 1.06)
+            self.freed(hop)
         elif outcome in NEUTRAL or outcome == Outcome.TIMEOUT:
-            if hop.trial and hop.generation == self.generation[hop.server] and not hop.judged:
-                self.trials[hop.server] -= 1
+            self.freed(hop)
         else:
             self.verdict(now, hop, True, outcome.name.lower())
 
+    def freed(self, hop: Hop) -> None:
+        if hop.trial and hop.generation == self.generation[hop.server] and not hop.judged:
+            self.trials[hop.server] -= 1
+
     def answered(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
         agreed = self.settings.tariffs[tariff].agreed
         if not hop.judged:
