--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -41,6 +41,7 @@
 SILVER = 0.41421356237309515  # so do these; no sum of multiples of both comes twice
 BEARABLE = 0.55             # part of the agreed time that the middle hop may take before less is taken on
 BASE = 1.5                  # held a core that a hop takes as long for as for its own work and ways
+FULL_PART, FULL_GAIN = 0.1, 3.0  # share of repeated hops that find a server full, and what is turned away above it
 LEAN, GATHER = 0.35, 0.08   # what a renewal turns away of what is too much, at once and for each second of it
 SPARED = 1.5                # times what the fleet holds a core from which a server is spared, one a core at least
 SPARE, REGAIN = 0.4, 0.15   # how fast it loses of its part in the order with each second, and has it back
@@ -144,6 +145,8 @@
         hop.out = False
         self.out -= 1
         hop.may_have_run = outcome not in NEVER_RAN
+        if number and outcome not in (Outcome.CANCELLED, Outcome.MOOT):
+            self.balancer.found(outcome == Outcome.FULL)
         self.balancer.hop_ended(now, self.tariff, hop, outcome, spent)
         if self.done:
             return
@@ -301,6 +304,9 @@
         # for each of these, and what is turned away.
         self.crowd = 0.0
         self.pace = 0.12
+        self.paced_at = 0
+        self.full = 0.0
+        self.full_at = 0
         self.excess = 0.0
         self.renewed_at = 0
         self.ignored = 0
@@ -476,6 +482,13 @@
         self.scale[at] = self.sizes[entry.kind]
         self.held[at] = self.scale[at] / scale - 1.0
 
+    def found(self, full: bool) -> None:
+        """What a repeated hop has found: the first of a popular key tells of its own server only.
+
+        Guards servers against choking before a list can tell: this is known at once.
+        """
+        self.full += 0.15 * (full - self.full)
+
     def started(self, now: int, entry: Entry) -> int:
         """When a listed server came up, as far as that can be.
 
@@ -522,7 +535,10 @@
 
     def turned_away(self, now: int, one: Submission) -> bool:
         """Close to the limit of what may be out, submissions are turned away by chance, cheap ones sooner."""
-        if self.room == math.inf and self.drop <= 0.0:
+        if self.settings.live:
+            self.full *= math.exp((self.full_at - now) / 1.5e6)
+            self.full_at = now
+        if self.room == math.inf and self.drop <= 0.0 and self.full <= FULL_PART:
             return False
         values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
         value = min(2.0, max(0.5, values[one.tariff] * len(values) / sum(values)))
@@ -530,7 +546,7 @@
             # Guards the room against submissions that come back when most of their agreed time has passed.
             value *= max(0.2, self.settings.tariffs[one.tariff].late_gain)
         if self.settings.live:
-            return self.chance.share() < self.drop ** value
+            return self.chance.share() < max(self.drop, min(0.95, FULL_GAIN * (self.full - FULL_PART))) ** value
         load = (min(self.level_now(now), self.all_in_flight) + self.usual[one.tariff] / self.span) / self.room
         return self.chance.share() < (load - 1.0) / 0.25 + min(4.0, 1.0 / value)
 
@@ -554,7 +570,9 @@
             return
         if self.settings.live:
             slower = spent > self.pace * (BASE + self.crowd) * self.settings.tariffs[tariff].agreed
-            self.pace *= 1.06 if slower else 1.0 / 1.06
+            step = 1.05 + min(0.3, 0.1 * (now - self.paced_at) / 1e6)
+            self.pace = min(4.0, max(0.01, self.pace * step if slower else self.pace / step))
+            self.paced_at = now
             return
         level = self.level_now(now)
         agreed = self.settings.tariffs[tariff].agreed
@@ -803,9 +821,6 @@
             self.answered(now, tariff, hop, spent)
         elif outcome == Outcome.TIMEOUT and spent >= self.settings.tariffs[tariff].agreed:
             self.overdue(now, tariff, hop)
-        elif outcome == Outcome.FULL and self.settings.live:
-            self.pace = min(4.0, self.pace * 1.06)
-            self.freed(hop)
         elif outcome in NEUTRAL or outcome == Outcome.TIMEOUT:
             self.freed(hop)
         else:
