--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -41,10 +41,11 @@
 SILVER = 0.41421356237309515  # so do these; no sum of multiples of both comes twice
 BEARABLE = 0.55             # part of the agreed time that the middle hop may take before less is taken on
 BASE = 1.5                  # held a core that a hop takes as long for as for its own work and ways
-FULL_PART, FULL_GAIN = 0.1, 3.0  # share of repeated hops that find a server full, and what is turned away above it
+FULL_PART, FULL_GAIN = 0.05, 3.0  # share of repeated hops that find a server full, and what is turned away above it
 LEAN, GATHER = 0.35, 0.08   # what a renewal turns away of what is too much, at once and for each second of it
+ROOMY = 0.5                 # part of the most that servers have held a core which they may hold in the mean
 SPARED = 1.5                # times what the fleet holds a core from which a server is spared, one a core at least
-SPARE, REGAIN = 0.4, 0.15   # how fast it loses of its part in the order with each second, and has it back
+SPARE, REGAIN = 0.8, 0.06   # how fast it loses of its part in the order with each second, and has it back
 PEERS = 2                   # others that are told at each renewal
 HINT = struct.Struct("<BHH")  # a message to another sidecar: its version, pace, excess
 VERSION, FINE = 1, 1 << 14
@@ -104,7 +105,7 @@
 class Submission:
     """One submission from its taking to its final answer, and its hops until the last has ended."""
 
-    __slots__ = ("balancer", "name", "tariff", "key", "until", "retry", "hops", "out", "done")
+    __slots__ = ("balancer", "name", "tariff", "key", "until", "retry", "hops", "out", "done", "tenant")
 
     def __init__(self, balancer: Balancer, name: int, tariff: int, key: int, retry: bool,
                  until: int) -> None:
@@ -250,15 +251,20 @@
         self.phase: list[Phase] = []
         self.scale: list[float] = []
         self.held: list[float] = []  # submissions a core, as last listed, where scales fall with them
+        self.load: list[float] = []  # that in the mean of the last few renewals
         self.part: list[float] = []  # of its size that counts in the order, less while it holds much
         self.tokens: list[float] = []  # what may be sent to a cold server at once
         self.tokens_at: list[int] = []
+        self.kind: list[int] = []
+        self.most: dict[int, float] = {}  # the most that a server of each kind has held a core
         self.sizes: dict[int, float] = {}  # the largest scale listed of each kind of server
         self.came_up: list[int] = []
         self.told_up: list[int] = []
         self.salt: list[int] = []
         self.ready: list[int] = []
         self.near: list[int] = []  # those of them that this sidecar uses
+        self.asked = [0.0] * len(settings.quotas)  # what each tenant has asked for of late, here
+        self.asked_all = 0.0
         self.quota = sum(settings.quotas) / 1e6
         # The breakers.
         self.state: list[int] = []
@@ -361,11 +367,15 @@
         self.renewed_at = now
         mass = sum(self.scale[at] for at in self.ready) or 1.0
         self.crowd += 0.5 * (sum(self.scale[at] * self.held[at] for at in self.ready) / mass - self.crowd)
-        goal = max(1.0, BEARABLE / self.pace - BASE)
-        bearable = max(1.0, SPARED * self.crowd)
+        most = sum(self.most[self.kind[at]] for at in self.ready) / max(1, len(self.ready))
+        goal = max(1.0, min(BEARABLE / self.pace - BASE, ROOMY * most))
+        for at in self.ready:
+            self.load[at] += 0.35 * (self.held[at] - self.load[at])
+        middle = sorted(self.load[at] for at in self.ready)[len(self.ready) // 2] if self.ready else 0.0
+        bearable = max(1.0, SPARED * (middle + 0.25))
         for at in self.ready:
             # Guards servers that are slower than their size tells, and those beside them, by moving some keys on.
-            more = min(2.0, self.held[at] / bearable - 1.0)
+            more = min(2.0, self.load[at] / bearable - 1.0)
             gain = -SPARE * more if more > 0.0 else REGAIN
             self.part[at] = min(1.0, max(0.03, self.part[at] * math.exp(gain * since)))
         over = max(-1.0, min(2.0, self.crowd / goal - 1.0))
@@ -431,9 +441,10 @@
                 at = len(self.ids)
                 for column in (self.ids, self.salt, self.zone, self.cell, self.state, self.fails, self.since,
                                self.generation, self.trials, self.lag_at, self.came_up, self.told_up,
-                               self.cooldown, self.tokens_at):
+                               self.cooldown, self.tokens_at, self.kind):
                     column.append(0)
-                for shares in (self.scale, self.held, self.part, self.tokens, self.ill, self.queued, self.lag):
+                for shares in (self.scale, self.held, self.load, self.part, self.tokens, self.ill, self.queued,
+                               self.lag):
                     shares.append(0.0)
                 self.phase.append(Phase.GONE)
                 self.names.append("")
@@ -446,7 +457,7 @@
             self.salt[at] = mix(entry.server + 1)
             self.state[at] = CLOSED
             self.fails[at] = self.since[at] = self.trials[at] = self.lag_at[at] = self.cooldown[at] = 0
-            self.ill[at] = self.queued[at] = 0.0
+            self.ill[at] = self.queued[at] = self.load[at] = 0.0
             self.lag[at] = self.part[at] = 1.0
             self.late[at] = False
             self.sent_cold[at].clear()
@@ -460,7 +471,7 @@
             self.fails[at] = self.trials[at] = 0
             self.generation[at] += 1
             self.cooldown[at] = 0
-            self.ill[at] = 0.0
+            self.ill[at] = self.load[at] = 0.0
             self.lag[at] = self.part[at] = 1.0
             self.tokens[at] = self.chance.share()
         self.zone[at] = entry.zone
@@ -480,7 +491,9 @@
         if scale > self.sizes.get(entry.kind, 0.0):
             self.sizes[entry.kind] = scale
         self.scale[at] = self.sizes[entry.kind]
+        self.kind[at] = entry.kind
         self.held[at] = self.scale[at] / scale - 1.0
+        self.most[entry.kind] = max(self.most.get(entry.kind, 0.0), self.held[at])
 
     def found(self, full: bool) -> None:
         """What a repeated hop has found: the first of a popular key tells of its own server only.
@@ -509,6 +522,13 @@
              tenant: int = 0) -> Submission:
         """Take a submission; `until` is when its client gives up, a key of 0 means none."""
         one = Submission(self, name, tariff, key, retry, until)
+        one.tenant = tenant
+        if tenant < len(self.asked):
+            fading = 0.98
+            self.asked_all = self.asked_all * fading + 1.0
+            for at in range(len(self.asked)):
+                self.asked[at] *= fading
+            self.asked[tenant] += 1.0
         if key:
             self.meet(key)
         self.retries_left = min(10.0, self.retries_left + 0.2)
@@ -546,10 +566,24 @@
             # Guards the room against submissions that come back when most of their agreed time has passed.
             value *= max(0.2, self.settings.tariffs[one.tariff].late_gain)
         if self.settings.live:
+            value *= self.due_part(one.tenant)
+            if one.until - now < self.usual[one.tariff]:
+                value *= 0.3  # its client will hardly wait for the answer
             return self.chance.share() < max(self.drop, min(0.95, FULL_GAIN * (self.full - FULL_PART))) ** value
         load = (min(self.level_now(now), self.all_in_flight) + self.usual[one.tariff] / self.span) / self.room
         return self.chance.share() < (load - 1.0) / 0.25 + min(4.0, 1.0 / value)
 
+    def due_part(self, tenant: int) -> float:
+        """One for a tenant within its part of what all may ask for, less the further it is beyond.
+
+        Guards all other tenants against one whose clients repeat without pause.
+        """
+        if tenant >= len(self.asked) or self.quota <= 0.0:
+            return 1.0
+        fair = self.settings.quotas[tenant] / 1e6 / self.quota
+        beyond = (self.asked[tenant] + 10.0 * fair) / (self.asked_all + 10.0) / max(0.001, fair)
+        return min(1.0, (1.3 / beyond) ** 2)
+
     def level_now(self, now: int) -> float:
         """How much is out, in the mean of about an agreed time.
 
