--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import math
-import struct
 from collections import deque
 from collections.abc import Sequence
 from heapq import heapify, heappop, nsmallest
@@ -39,17 +38,8 @@
 COLD_PART = 0.55             # of what the rules let all sidecars together send to a cold server
 GOLDEN = 0.6180339887498949  # its multiples fill the unit interval evenly, however many are taken
 SILVER = 0.41421356237309515  # so do these; no sum of multiples of both comes twice
-BEARABLE = 0.55             # part of the agreed time that the middle hop may take before less is taken on
-BASE = 1.5                  # held a core that a hop takes as long for as for its own work and ways
 FULL_PART, FULL_GAIN = 0.05, 3.0  # share of repeated hops that find a server full, and what is turned away above it
-LEAN, GATHER = 0.35, 0.08   # what a renewal turns away of what is too much, at once and for each second of it
-ROOMY = 0.5                 # part of the most that servers have held a core which they may hold in the mean
-SPARED = 1.5                # times what the fleet holds a core from which a server is spared, one a core at least
-SPARE, REGAIN = 0.8, 0.06   # how fast it loses of its part in the order with each second, and has it back
-PEERS = 2                   # others that are told at each renewal
-HINT = struct.Struct("<BHH")  # a message to another sidecar: its version, pace, excess
-VERSION, FINE = 1, 1 << 14
-SPREAD = 0.06               # worth of choice, held against the price of connections, for how many servers one uses
+SPREAD = 0.035              # worth of choice, held against the price of connections, for how many servers one uses
 FEWEST = 4                  # servers that a sidecar uses at least, where connections cost
 NEAR_ENOUGH = 0.08          # crossing price from which other zones count least
 RECENT = 64                 # submissions among which a key is judged popular
@@ -105,7 +95,7 @@
 class Submission:
     """One submission from its taking to its final answer, and its hops until the last has ended."""
 
-    __slots__ = ("balancer", "name", "tariff", "key", "until", "retry", "hops", "out", "done", "tenant")
+    __slots__ = ("balancer", "name", "tariff", "key", "until", "retry", "hops", "out", "done")
 
     def __init__(self, balancer: Balancer, name: int, tariff: int, key: int, retry: bool,
                  until: int) -> None:
@@ -251,20 +241,14 @@
         self.phase: list[Phase] = []
         self.scale: list[float] = []
         self.held: list[float] = []  # submissions a core, as last listed, where scales fall with them
-        self.load: list[float] = []  # that in the mean of the last few renewals
-        self.part: list[float] = []  # of its size that counts in the order, less while it holds much
         self.tokens: list[float] = []  # what may be sent to a cold server at once
         self.tokens_at: list[int] = []
-        self.kind: list[int] = []
-        self.most: dict[int, float] = {}  # the most that a server of each kind has held a core
         self.sizes: dict[int, float] = {}  # the largest scale listed of each kind of server
         self.came_up: list[int] = []
         self.told_up: list[int] = []
         self.salt: list[int] = []
         self.ready: list[int] = []
         self.near: list[int] = []  # those of them that this sidecar uses
-        self.asked = [0.0] * len(settings.quotas)  # what each tenant has asked for of late, here
-        self.asked_all = 0.0
         self.quota = sum(settings.quotas) / 1e6
         # The breakers.
         self.state: list[int] = []
@@ -306,17 +290,8 @@
         self.calm_room = math.inf
         self.shrunk = 0
         self.tardy = 0.0
-        # Where live scales tell what servers hold: that a core, the middle hop's part of its agreed time
-        # for each of these, and what is turned away.
-        self.crowd = 0.0
-        self.pace = 0.12
-        self.paced_at = 0
         self.full = 0.0
         self.full_at = 0
-        self.excess = 0.0
-        self.renewed_at = 0
-        self.ignored = 0
-        self.drop = 0.0
         # Asking for the list.
         self.following = not settings.must_ask
         self.asking = False
@@ -355,41 +330,6 @@
                 self.forget(at)
             self.ready = [at for at, phase in enumerate(self.phase) if phase == Phase.READY]
             self.choose_near(True)
-        if self.settings.live and kind != Listing.CACHED:
-            self.renewed(now)
-
-    def renewed(self, now: int) -> None:
-        """Judge by what all servers hold how much of what comes is too much.
-
-        Guards a pool of sidecars, each of which sees too little itself, against crowding servers all together.
-        """
-        since = min(1.5, (now - self.renewed_at) / 1e6)
-        self.renewed_at = now
-        mass = sum(self.scale[at] for at in self.ready) or 1.0
-        self.crowd += 0.5 * (sum(self.scale[at] * self.held[at] for at in self.ready) / mass - self.crowd)
-        most = sum(self.most[self.kind[at]] for at in self.ready) / max(1, len(self.ready))
-        goal = max(1.0, min(BEARABLE / self.pace - BASE, ROOMY * most))
-        for at in self.ready:
-            self.load[at] += 0.35 * (self.held[at] - self.load[at])
-        middle = sorted(self.load[at] for at in self.ready)[len(self.ready) // 2] if self.ready else 0.0
-        bearable = max(1.0, SPARED * (middle + 0.25))
-        for at in self.ready:
-            # Guards servers that are slower than their size tells, and those beside them, by moving some keys on.
-            more = min(2.0, self.load[at] / bearable - 1.0)
-            gain = -SPARE * more if more > 0.0 else REGAIN
-            self.part[at] = min(1.0, max(0.03, self.part[at] * math.exp(gain * since)))
-        over = max(-1.0, min(2.0, self.crowd / goal - 1.0))
-        before = self.drop
-        self.excess = min(0.95, max(0.0, self.excess + GATHER * over * since))
-        self.drop = min(0.95, max(0.0, self.excess + LEAN * over))
-        if self.settings.may_tell and self.settings.fleet > 1:
-            hint = HINT.pack(VERSION, min(65535, int(self.pace * FINE)), int(self.excess * FINE))
-            for _ in range(PEERS):
-                peer = self.chance.bits() % (self.settings.fleet - 1)
-                self.outlet.tell(peer + (peer >= self.settings.me), hint)
-        if (before > 0.0) != (self.drop > 0.0):
-            self.outlet.log(f"limit {'on' if self.drop > 0.0 else 'off'}: {self.crowd:.2f} held a core of "
-                            f"{goal:.2f} bearable")
 
     def choose_near(self, changed: bool = False) -> None:
         """The servers that this sidecar uses: all, or, where connections cost, the first of an order of its own.
@@ -413,18 +353,6 @@
             self.draws.clear()
         self.near = ready
 
-    def told(self, now: int, sender: int, data: bytes) -> None:
-        """A message of another sidecar: a hint, which may be late, garbled or from a build of another time.
-
-        Guards sidecars that judge more strictly than most against giving way to all others: judgements meet.
-        """
-        if len(data) != HINT.size or data[0] != VERSION or not self.settings.may_tell:
-            self.ignored += 1
-            return
-        _, pace, excess = HINT.unpack(data)
-        self.pace += 0.5 * (min(4.0, max(0.01, pace / FINE)) - self.pace)
-        self.excess += 0.5 * (min(0.95, excess / FINE) - self.excess)
-
     def forget(self, at: int) -> None:
         """Nothing is kept of a server that is gone once no hop to it is out: new ones come for ever."""
         if self.phase[at] == Phase.GONE and not self.out[at] and self.index.get(self.ids[at]) == at:
@@ -441,10 +369,9 @@
                 at = len(self.ids)
                 for column in (self.ids, self.salt, self.zone, self.cell, self.state, self.fails, self.since,
                                self.generation, self.trials, self.lag_at, self.came_up, self.told_up,
-                               self.cooldown, self.tokens_at, self.kind):
+                               self.cooldown, self.tokens_at):
                     column.append(0)
-                for shares in (self.scale, self.held, self.load, self.part, self.tokens, self.ill, self.queued,
-                               self.lag):
+                for shares in (self.scale, self.held, self.tokens, self.ill, self.queued, self.lag):
                     shares.append(0.0)
                 self.phase.append(Phase.GONE)
                 self.names.append("")
@@ -457,8 +384,8 @@
             self.salt[at] = mix(entry.server + 1)
             self.state[at] = CLOSED
             self.fails[at] = self.since[at] = self.trials[at] = self.lag_at[at] = self.cooldown[at] = 0
-            self.ill[at] = self.queued[at] = self.load[at] = 0.0
-            self.lag[at] = self.part[at] = 1.0
+            self.ill[at] = self.queued[at] = 0.0
+            self.lag[at] = 1.0
             self.late[at] = False
             self.sent_cold[at].clear()
             self.told_up[at] = entry.came_up
@@ -471,8 +398,8 @@
             self.fails[at] = self.trials[at] = 0
             self.generation[at] += 1
             self.cooldown[at] = 0
-            self.ill[at] = self.load[at] = 0.0
-            self.lag[at] = self.part[at] = 1.0
+            self.ill[at] = 0.0
+            self.lag[at] = 1.0
             self.tokens[at] = self.chance.share()
         self.zone[at] = entry.zone
         self.cell[at] = entry.cell
@@ -491,9 +418,7 @@
         if scale > self.sizes.get(entry.kind, 0.0):
             self.sizes[entry.kind] = scale
         self.scale[at] = self.sizes[entry.kind]
-        self.kind[at] = entry.kind
         self.held[at] = self.scale[at] / scale - 1.0
-        self.most[entry.kind] = max(self.most.get(entry.kind, 0.0), self.held[at])
 
     def found(self, full: bool) -> None:
         """What a repeated hop has found: the first of a popular key tells of its own server only.
@@ -522,13 +447,6 @@
              tenant: int = 0) -> Submission:
         """Take a submission; `until` is when its client gives up, a key of 0 means none."""
         one = Submission(self, name, tariff, key, retry, until)
-        one.tenant = tenant
-        if tenant < len(self.asked):
-            fading = 0.98
-            self.asked_all = self.asked_all * fading + 1.0
-            for at in range(len(self.asked)):
-                self.asked[at] *= fading
-            self.asked[tenant] += 1.0
         if key:
             self.meet(key)
         self.retries_left = min(10.0, self.retries_left + 0.2)
@@ -558,7 +476,7 @@
         if self.settings.live:
             self.full *= math.exp((self.full_at - now) / 1.5e6)
             self.full_at = now
-        if self.room == math.inf and self.drop <= 0.0 and self.full <= FULL_PART:
+        if self.room == math.inf and self.full <= FULL_PART:
             return False
         values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
         value = min(2.0, max(0.5, values[one.tariff] * len(values) / sum(values)))
@@ -566,24 +484,15 @@
             # Guards the room against submissions that come back when most of their agreed time has passed.
             value *= max(0.2, self.settings.tariffs[one.tariff].late_gain)
         if self.settings.live:
-            value *= self.due_part(one.tenant)
             if one.until - now < self.usual[one.tariff]:
                 value *= 0.3  # its client will hardly wait for the answer
-            return self.chance.share() < max(self.drop, min(0.95, FULL_GAIN * (self.full - FULL_PART))) ** value
+            if self.chance.share() < min(0.95, max(0.0, FULL_GAIN * (self.full - FULL_PART))) ** value:
+                return True
+            if self.room == math.inf:
+                return False
         load = (min(self.level_now(now), self.all_in_flight) + self.usual[one.tariff] / self.span) / self.room
         return self.chance.share() < (load - 1.0) / 0.25 + min(4.0, 1.0 / value)
 
-    def due_part(self, tenant: int) -> float:
-        """One for a tenant within its part of what all may ask for, less the further it is beyond.
-
-        Guards all other tenants against one whose clients repeat without pause.
-        """
-        if tenant >= len(self.asked) or self.quota <= 0.0:
-            return 1.0
-        fair = self.settings.quotas[tenant] / 1e6 / self.quota
-        beyond = (self.asked[tenant] + 10.0 * fair) / (self.asked_all + 10.0) / max(0.001, fair)
-        return min(1.0, (1.3 / beyond) ** 2)
-
     def level_now(self, now: int) -> float:
         """How much is out, in the mean of about an agreed time.
 
@@ -602,12 +511,6 @@
         """
         if hop.at <= self.shrunk or hop.server not in self.ready:
             return
-        if self.settings.live:
-            slower = spent > self.pace * (BASE + self.crowd) * self.settings.tariffs[tariff].agreed
-            step = 1.05 + min(0.3, 0.1 * (now - self.paced_at) / 1e6)
-            self.pace = min(4.0, max(0.01, self.pace * step if slower else self.pace / step))
-            self.paced_at = now
-            return
         level = self.level_now(now)
         agreed = self.settings.tariffs[tariff].agreed
         tardy = spent > TARDY * agreed
@@ -669,7 +572,7 @@
             if self.came_up[at] and self.warmth(now, at) < 1.0:
                 cold.append(at)
                 continue
-            weight = self.scale[at] * self.part[at]
+            weight = self.scale[at]
             if self.zone[at] != self.settings.zone:
                 weight *= foreign
             order.append((draw / weight, at))
@@ -741,7 +644,7 @@
         traffic: it is not in the order, and each sidecar sends it an even part of all that it takes.
         """
         limit = COLD_PART * self.settings.fall_multiple * self.warmth(now, at) * times
-        part = self.scale[at] * self.part[at] / total
+        part = self.scale[at] / total
         fewer = len(self.near) / len(self.ready)  # of the sidecars use it, each for as many others
         if (self.turn + self.salt[at] / MASK) % 1.0 >= limit * part / fewer:
             return False
