--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -45,6 +45,9 @@
 RECENT = 64                 # submissions among which a key is judged popular
 HOT = 2.0                   # times a server's fair part from which a key is spread
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
+SHORT = 17                  # rests of connections under 2 to the power of this, in microseconds, are one length
+RESTS = 8                   # lengths of rests that are told apart, each twice the one before
+REST_MEMORY = 20e6          # how fast it is forgotten what rests did
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
 
@@ -70,11 +73,38 @@
     return value ^ (value >> 31)
 
 
+class Rests:
+    """How many hops bring nothing that are the first on a connection after a rest, by how long that was.
+
+    Guards hops, unrepeatable ones above all, against whatever drops resting connections and says nothing, and
+    the breakers of healthy servers against being opened by it.
+    """
+
+    def __init__(self) -> None:
+        self.used = [0.0] * RESTS
+        self.lost = [0.0] * RESTS
+        self.at = 0
+        self.limit = MASK  # from which rest on a connection is not to be used
+
+    def note(self, now: int, rest: int, lost: bool) -> None:
+        fading = math.exp((self.at - now) / REST_MEMORY)
+        self.at = now
+        for length in range(RESTS):
+            self.used[length] *= fading
+            self.lost[length] *= fading
+        length = min(RESTS - 1, max(0, rest.bit_length() - SHORT))
+        self.used[length] += 1.0
+        self.lost[length] += lost
+        usual = 0.4 + self.lost[0] / (1.0 + self.used[0])
+        self.limit = next((1 << SHORT + length - 1 for length in range(1, RESTS)
+                           if self.lost[length] > max(1.5, usual * self.used[length])), MASK)
+
+
 class Hop:
     """A hop; `server` means something while it is out, its zone and cell stay those that it was sent to."""
 
     __slots__ = ("at", "due", "server", "zone", "cell", "generation", "trial", "level", "out", "may_have_run",
-                 "judged", "begun")
+                 "judged", "begun", "rest")
 
     def __init__(self, at: int, due: int, server: int, zone: int, cell: int, generation: int, trial: bool,
                  level: float) -> None:
@@ -90,6 +120,7 @@
         self.judged = False
         self.begun = False
         self.level = level
+        self.rest = 0
 
 
 class Submission:
@@ -260,6 +291,8 @@
         self.trials: list[int] = []
         # What this sidecar has seen.
         self.out: list[list[Hop]] = []
+        self.rested: list[int] = []  # since when the connections to a server rest, 0 if there are none
+        self.rests = Rests()
         self.lag: list[float] = []
         self.queued: list[float] = []
         self.late: list[bool] = []
@@ -369,7 +402,7 @@
                 at = len(self.ids)
                 for column in (self.ids, self.salt, self.zone, self.cell, self.state, self.fails, self.since,
                                self.generation, self.trials, self.lag_at, self.came_up, self.told_up,
-                               self.cooldown, self.tokens_at):
+                               self.cooldown, self.tokens_at, self.rested):
                     column.append(0)
                 for shares in (self.scale, self.held, self.tokens, self.ill, self.queued, self.lag):
                     shares.append(0.0)
@@ -384,6 +417,7 @@
             self.salt[at] = mix(entry.server + 1)
             self.state[at] = CLOSED
             self.fails[at] = self.since[at] = self.trials[at] = self.lag_at[at] = self.cooldown[at] = 0
+            self.rested[at] = 0
             self.ill[at] = self.queued[at] = 0.0
             self.lag[at] = 1.0
             self.late[at] = False
@@ -696,6 +730,11 @@
                 self.sent_cold[at].append(now)
         due = now + int(max(STALL * self.usual[tariff], STALL_PART * self.settings.tariffs[tariff].agreed))
         hop = Hop(now, due, at, self.zone[at], self.cell[at], self.generation[at], trial, level)
+        if not self.out[at] and self.rested[at]:
+            hop.rest = now - self.rested[at]
+            if hop.rest >= self.rests.limit:
+                hop.rest = 0
+                self.outlet.free_links(self.ids[at])
         self.out[at].append(hop)
         return hop
 
@@ -749,6 +788,7 @@
 
     def hop_ended(self, now: int, tariff: int, hop: Hop, outcome: Outcome, spent: int) -> None:
         self.out[hop.server].remove(hop)
+        self.rested[hop.server] = now
         self.forget(hop.server)
         self.level_now(now)
         self.all_in_flight -= 1
@@ -771,6 +811,8 @@
         agreed = self.settings.tariffs[tariff].agreed
         if not hop.judged:
             self.judge_room(now, tariff, hop, spent)
+        if not hop.judged:
+            self.rests.note(now, hop.rest, False)
         self.sample(now, tariff, hop.server, spent)
         late = spent > agreed and not self.all_late(hop.server)
         self.verdict(now, hop, late, "late" if late else "answered")
@@ -778,6 +820,7 @@
     def overdue(self, now: int, tariff: int, hop: Hop) -> None:
         if hop.judged:
             return
+        self.rests.note(now, hop.rest, True)
         self.judge_room(now, tariff, hop, now - hop.at)
         self.sample(now, tariff, hop.server, max(now - hop.at, self.settings.tariffs[tariff].agreed + 1))
         if not self.all_late(hop.server):
