--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -47,7 +47,11 @@
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
 SHORT = 17                  # rests of connections under 2 to the power of this, in microseconds, are one length
 RESTS = 8                   # lengths of rests that are told apart, each twice the one before
-REST_MEMORY = 20e6          # how fast it is forgotten what rests did
+REST_MEMORY = 2e6           # how fast it is forgotten what rests did, and
+REST_HELD = 15_000_000      # how long connections are freed for it, until that is tried anew
+PEERS = 6                   # other sidecars that are told of it, and
+TELL_EVERY = 1_000_000      # how often at most
+VERSION = 1                 # of the messages: this byte, then how often each length was used, how often in vain
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
 
@@ -83,21 +87,40 @@
     def __init__(self) -> None:
         self.used = [0.0] * RESTS
         self.lost = [0.0] * RESTS
-        self.at = 0
+        self.seen = bytearray(2 * RESTS)  # here, since others were told
+        self.at = self.until = 0
         self.limit = MASK  # from which rest on a connection is not to be used
 
     def note(self, now: int, rest: int, lost: bool) -> None:
+        length = min(RESTS - 1, max(0, rest.bit_length() - SHORT))
+        for at in (length, length + RESTS)[:1 + lost]:
+            self.seen[at] = min(255, self.seen[at] + 1)
+        self.count(now, length, 1, int(lost))
+
+    def count(self, now: int, length: int, used: int, lost: int) -> None:
         fading = math.exp((self.at - now) / REST_MEMORY)
         self.at = now
-        for length in range(RESTS):
-            self.used[length] *= fading
-            self.lost[length] *= fading
-        length = min(RESTS - 1, max(0, rest.bit_length() - SHORT))
-        self.used[length] += 1.0
+        for each in range(RESTS):
+            self.used[each] *= fading
+            self.lost[each] *= fading
+        self.used[length] += used
         self.lost[length] += lost
         usual = 0.4 + self.lost[0] / (1.0 + self.used[0])
-        self.limit = next((1 << SHORT + length - 1 for length in range(1, RESTS)
-                           if self.lost[length] > max(1.5, usual * self.used[length])), MASK)
+        limit = next((1 << SHORT + each - 1 for each in range(1, RESTS)
+                      if self.lost[each] > max(1.5, usual * self.used[each])), MASK)
+        if limit < self.limit or now > self.until:
+            self.limit = limit
+            self.until = now + REST_HELD
+
+    def told(self, now: int, data: bytes) -> bool:
+        """What another sidecar has seen; False if that can't be read."""
+        if len(data) != 1 + 2 * RESTS or data[0] != VERSION:
+            return False
+        for length in range(RESTS):
+            used, lost = data[1 + length], data[1 + RESTS + length]
+            if 0 < used >= lost:
+                self.count(now, length, used, lost)
+        return True
 
 
 class Hop:
@@ -293,6 +316,7 @@
         self.out: list[list[Hop]] = []
         self.rested: list[int] = []  # since when the connections to a server rest, 0 if there are none
         self.rests = Rests()
+        self.told_at = self.ignored = 0
         self.lag: list[float] = []
         self.queued: list[float] = []
         self.late: list[bool] = []
@@ -386,6 +410,23 @@
             self.draws.clear()
         self.near = ready
 
+    def told(self, now: int, sender: int, data: bytes) -> None:
+        """A message of another sidecar: a hint, which may be late, garbled or from a build of another time."""
+        if not self.rests.told(now, data):
+            self.ignored += 1
+
+    def tell(self, now: int) -> None:
+        """Tell some others what was seen here, never what they told: no hint feeds itself."""
+        if now - self.told_at < TELL_EVERY or not self.settings.may_tell or self.settings.fleet < 2:
+            return
+        self.told_at = now
+        if any(self.rests.seen[1:RESTS]):
+            hint = bytes([VERSION]) + bytes(self.rests.seen)
+            for _ in range(min(PEERS, self.settings.fleet - 1)):
+                peer = self.chance.bits() % (self.settings.fleet - 1)
+                self.outlet.tell(peer + (peer >= self.settings.me), hint)
+            self.rests.seen = bytearray(2 * RESTS)
+
     def forget(self, at: int) -> None:
         """Nothing is kept of a server that is gone once no hop to it is out: new ones come for ever."""
         if self.phase[at] == Phase.GONE and not self.out[at] and self.index.get(self.ids[at]) == at:
@@ -489,6 +530,7 @@
             self.gap += max(0.1, 1.0 / self.taken) * (now - self.taken_at - self.gap)
         self.taken += 1
         self.taken_at = now
+        self.tell(now)
         if self.turned_away(now, one):
             one.give_up(now)
         else:
