--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -105,9 +105,9 @@
             self.lost[each] *= fading
         self.used[length] += used
         self.lost[length] += lost
-        usual = 0.4 + self.lost[0] / (1.0 + self.used[0])
+        usual = 0.55 + self.lost[0] / (1.0 + self.used[0])
         limit = next((1 << SHORT + each - 1 for each in range(1, RESTS)
-                      if self.lost[each] > max(1.5, usual * self.used[each])), MASK)
+                      if self.lost[each] > max(3.0, usual * self.used[each])), MASK)
         if limit < self.limit or now > self.until:
             self.limit = limit
             self.until = now + REST_HELD
