--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -38,7 +38,7 @@
 COLD_PART = 0.55             # of what the rules let all sidecars together send to a cold server
 GOLDEN = 0.6180339887498949  # its multiples fill the unit interval evenly, however many are taken
 SILVER = 0.41421356237309515  # so do these; no sum of multiples of both comes twice
-FULL_PART, FULL_GAIN = 0.05, 3.0  # share of repeated hops that find a server full, and what is turned away above it
+FULL_PART, FULL_GAIN = 0.05, 3.0  # share of hops that find a server full, and what is turned away above it
 SPREAD = 0.035              # worth of choice, held against the price of connections, for how many servers one uses
 FEWEST = 4                  # servers that a sidecar uses at least, where connections cost
 NEAR_ENOUGH = 0.08          # crossing price from which other zones count least
@@ -190,7 +190,7 @@
         hop.out = False
         self.out -= 1
         hop.may_have_run = outcome not in NEVER_RAN
-        if number and outcome not in (Outcome.CANCELLED, Outcome.MOOT):
+        if outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             self.balancer.found(outcome == Outcome.FULL)
         self.balancer.hop_ended(now, self.tariff, hop, outcome, spent)
         if self.done:
@@ -496,11 +496,11 @@
         self.held[at] = self.scale[at] / scale - 1.0
 
     def found(self, full: bool) -> None:
-        """What a repeated hop has found: the first of a popular key tells of its own server only.
+        """Whether a hop has found its server full.
 
         Guards servers against choking before a list can tell: this is known at once.
         """
-        self.full += 0.15 * (full - self.full)
+        self.full += 0.25 * (full - self.full)
 
     def started(self, now: int, entry: Entry) -> int:
         """When a listed server came up, as far as that can be.
@@ -562,7 +562,7 @@
         if self.settings.live:
             if one.until - now < self.usual[one.tariff]:
                 value *= 0.3  # its client will hardly wait for the answer
-            if self.chance.share() < min(0.95, max(0.0, FULL_GAIN * (self.full - FULL_PART))) ** value:
+            if self.chance.share() < min(0.97, FULL_GAIN * (self.full - FULL_PART) / value):
                 return True
             if self.room == math.inf:
                 return False
