A running sidecar loads other settings in one step; handles hold their terms

Need: the move has to work in a running program, both ways, nothing taken lost or sent twice. A handle held a tariff's number, which means another tariff after a swap. Every key that is read is checked, exit 2 with file and key; check names what has no effect.

--- a/pumicepath/commands/sidecar.py
+++ b/pumicepath/commands/sidecar.py
@@ -40,7 +40,11 @@
 @CONFIG
 def check(path: str) -> None:
     """Read the configuration as `serve` would, and say what would be run."""
+    from ..sidecar import running
     config = load(path)
     click.echo(f"{config.name}: listens on {config.listen.host}:{config.listen.port}, "
                f"{len(config.known['hosts'])} servers known, {len(config.tariffs)} tariffs, "
                f"{config.from_clients} connections of clients and {config.to_servers} to servers at most")
+    click.echo(f"fixed while it runs: {', '.join(running.FIXED)}")
+    if config.idle_keys:
+        click.echo(f"without effect on this platform: {', '.join(config.idle_keys)}")
--- a/pumicepath/discovery/roster.py
+++ b/pumicepath/discovery/roster.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable, Sequence
 from hashlib import blake2b
+from itertools import count
 from typing import Any, NamedTuple
 
 from ..interface import Entry, Phase
@@ -52,7 +53,8 @@
     """What the list has said so far of the servers on it: their starts by the sidecar's own clock."""
 
     def __init__(self, zones: Sequence[str], since_unix_ms: Callable[[int], int]) -> None:
-        self.zones = {name: at for at, name in enumerate(zones)}
+        self.numbers = count()
+        self.zones = {name: next(self.numbers) for name in zones}
         self.since_unix_ms = since_unix_ms
         self.starts: dict[str, tuple[int, int]] = {}
 
@@ -72,13 +74,18 @@
             self.starts.pop(name, None)
         return Update(version, whole, entries, addresses)
 
+    def zone(self, name: str) -> int:
+        """Its number, which it keeps whatever a later configuration names: hops out know it by that."""
+        known = self.zones.get(name)
+        return self.zones.setdefault(name, next(self.numbers)) if known is None else known
+
     def entry(self, line: dict[str, Any]) -> Entry:
         name, born = str(line["host"]), int(line.get("born_ms", 0))
         kept = self.starts.get(name)
         if kept is None or kept[0] != born:
             # Once for each start: guards against a clock that was set since, which would look like a new one.
             kept = self.starts[name] = (born, self.since_unix_ms(born) if born > 0 else 0)
-        zone = self.zones.setdefault(str(line.get("site", "")), len(self.zones))
+        zone = self.zone(str(line.get("site", "")))
         if not math.isfinite(float(line.get("share", 1.0))):
             raise ValueError(f"share of {name} is no number")
         cell, share = int(line.get("block", 0)), float(line.get("share", 1.0))
--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -20,9 +20,12 @@
         self.roster = roster
         self.host = host
         self.version = version
-        self.wait_ms = max(1, min(LONGEST_WAIT_MS, wait_us // 1000))
+        self.waits(wait_us)
         self.restart()
 
+    def waits(self, wait_us: int) -> None:
+        self.wait_ms = max(1, min(LONGEST_WAIT_MS, wait_us // 1000))
+
     def restart(self) -> None:
         """A new connection: whatever came on the old one no longer counts."""
         self.parser = ResponseParser(MOST_LIST)
--- a/pumicepath/intake/queue.py
+++ b/pumicepath/intake/queue.py
@@ -43,14 +43,9 @@
     """
 
     def __init__(self, tariffs: tuple[Tariff, ...], most_back: int, most_waiting: int, seed: int) -> None:
-        self.tariffs = tariffs
-        self.most_back = most_back
         self.most_waiting = most_waiting
         self.chance = Chance(seed)
-        dearest = max(one.gain for one in tariffs)
-        self.part = [CHEAP_PART + (1.0 - CHEAP_PART) * (one.gain / dearest if dearest > 0 else 1.0)
-                     for one in tariffs]
-        self.late_part = [min(1.0, one.late_gain / one.gain) if one.gain > 0 else 0.0 for one in tariffs]
+        self.adopt(tariffs, most_back)
         self.waiting: deque[tuple[int, Whom]] = deque()
         self.returning: deque[Whom] = deque()
         self.active = 0
@@ -59,7 +54,6 @@
         self.wait = 0.0             # that requests have had before they were read
         self.out = 0.0              # that answers have had before they were passed on
         self.turned = 0
-        self.longest_pause = int(PAUSE_PART * min(one.patience for one in tariffs))
         self.pause = 0              # before a connection is read again on which one was turned away
         self.taken = 0
         self.beaten = (0, 0)
@@ -67,12 +61,24 @@
         self.told_turned = 0
         self.turned_at = 0
 
+    def adopt(self, tariffs: tuple[Tariff, ...], most_back: int) -> None:
+        """Judge by other tariffs from now on; what waits keeps the limit that it was given."""
+        self.tariffs = tariffs
+        self.most_back = most_back
+        dearest = max(one.gain for one in tariffs)
+        self.part = [CHEAP_PART + (1.0 - CHEAP_PART) * (one.gain / dearest if dearest > 0 else 1.0)
+                     for one in tariffs]
+        self.late_part = [min(1.0, one.late_gain / one.gain) if one.gain > 0 else 0.0 for one in tariffs]
+        self.longest_pause = int(PAUSE_PART * min(one.patience for one in tariffs))
+
     def full(self) -> bool:
         """Whether the next one would have to wait."""
         return self.active >= PLACES
 
     def limit(self, tariff: int, retry: bool, arrived: int, until: int, usual: float) -> int:
         """By when a request must be taken up to be worth it, if it then takes `usual` at the servers."""
+        # Guards a request that was read just before these tariffs came: any of them does for its wait.
+        tariff = min(tariff, len(self.tariffs) - 1)
         one = self.tariffs[tariff]
         rest = usual + self.out
         agreed = max(FLOOR_PART * one.agreed, (1.0 - SPARE_PART) * one.agreed - rest)
@@ -143,7 +149,7 @@
 
     def back(self, tariff: int) -> int:
         """When a client that is turned away should come back: spread, and later the longer others wait."""
-        agreed = self.tariffs[tariff].agreed
+        agreed = self.tariffs[min(tariff, len(self.tariffs) - 1)].agreed
         times = min(MOST_BACK, 1.0 + 2.0 * len(self.waiting) * self.interval / max(1, agreed))
         return min(self.most_back, int(agreed * times * (0.5 + self.chance.share())))
 
--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -59,7 +59,8 @@
 class Entry(NamedTuple):
     """One line of the server list; `came_up` is 0 where the start lies long past.
 
-    `name` is what people call it; where there is none, its id stands for it.
+    `name` is what people call it; where there is none, its id stands for it.  Servers of one `kind` have one
+    nominal size; -1 where nothing is said of it.
     """
 
     server: int
@@ -69,7 +70,7 @@
     scale: float
     came_up: int
     name: str = ""
-    kind: int = 0
+    kind: int = -1
 
 
 @dataclass(frozen=True)
@@ -82,6 +83,7 @@
     group: Group
     window: int
     stream: bool = False
+    name: str = ""
 
 
 @dataclass(frozen=True)
--- a/pumicepath/lab/virtual/sidecar.py
+++ b/pumicepath/lab/virtual/sidecar.py
@@ -329,6 +329,12 @@
     def probe(self, server: int) -> None:
         """No decision asks for probes."""
 
+    def tell(self, peer: int, data: bytes) -> None:
+        """Sidecars of this model don't hear each other."""
+
+    def free_links(self, server: int) -> None:
+        """Connections of this model rest unharmed, so that nothing is to be gained here."""
+
     def follow(self) -> None:
         if self.alive():
             self.sidecar.world.registry.follow(self.sidecar.number)
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -10,9 +10,10 @@
 import math
 from collections import deque
 from collections.abc import Sequence
+from dataclasses import replace
 from heapq import heapify, heappop, nsmallest
 
-from .interface import Effect, Entry, Group, Listing, Outcome, Outlet, Phase, Settings
+from .interface import Effect, Entry, Group, Listing, Outcome, Outlet, Phase, Settings, Tariff
 
 CLOSED, OPEN, HALF_OPEN = range(3)
 MASK = (1 << 64) - 1
@@ -38,20 +39,21 @@
 COLD_PART = 0.55             # of what the rules let all sidecars together send to a cold server
 GOLDEN = 0.6180339887498949  # its multiples fill the unit interval evenly, however many are taken
 SILVER = 0.41421356237309515  # so do these; no sum of multiples of both comes twice
-FULL_PART, FULL_GAIN = 0.05, 3.0  # share of hops that find a server full, and what is turned away above it
-SPREAD = 0.035              # worth of choice, held against the price of connections, for how many servers one uses
+FULL_PART = 0.05            # share of hops that find a server full above which less is taken on, and
+FULL_GAIN = 3.0             # how much less, for each time of that share
+SPREAD = 0.035              # worth of choice against the price of connections, for how many servers one uses
 FEWEST = 4                  # servers that a sidecar uses at least, where connections cost
 NEAR_ENOUGH = 0.08          # crossing price from which other zones count least
 RECENT = 64                 # submissions among which a key is judged popular
 HOT = 2.0                   # times a server's fair part from which a key is spread
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
-SHORT = 17                  # rests of connections under 2 to the power of this, in microseconds, are one length
+SHORT = 17                  # rests under 2 to the power of this, in microseconds, are one length
 RESTS = 8                   # lengths of rests that are told apart, each twice the one before
 REST_MEMORY = 2e6           # how fast it is forgotten what rests did, and
 REST_HELD = 15_000_000      # how long connections are freed for it, until that is tried anew
 PEERS = 6                   # other sidecars that are told of it, and
 TELL_EVERY = 1_000_000      # how often at most
-VERSION = 1                 # of the messages: this byte, then how often each length was used, how often in vain
+VERSION = 1                 # of the messages: this, then how often each length was used, how often in vain
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
 
@@ -146,16 +148,29 @@
         self.rest = 0
 
 
+class Terms:
+    """What a tariff says, and how long its submissions take; they end under what they were taken by."""
+
+    __slots__ = ("tariff", "agreed", "usual", "calm", "samples")
+
+    def __init__(self, tariff: Tariff, before: Terms | None = None) -> None:
+        self.tariff = tariff
+        self.agreed = tariff.agreed
+        self.usual: float = before.usual if before else max(1.0, tariff.agreed / 4)
+        self.calm: float = before.calm if before else self.usual
+        self.samples: int = before.samples if before else 0
+
+
 class Submission:
     """One submission from its taking to its final answer, and its hops until the last has ended."""
 
-    __slots__ = ("balancer", "name", "tariff", "key", "until", "retry", "hops", "out", "done")
+    __slots__ = ("balancer", "name", "terms", "key", "until", "retry", "hops", "out", "done")
 
-    def __init__(self, balancer: Balancer, name: int, tariff: int, key: int, retry: bool,
+    def __init__(self, balancer: Balancer, name: int, terms: Terms, key: int, retry: bool,
                  until: int) -> None:
         self.balancer = balancer
         self.name = name
-        self.tariff = tariff
+        self.terms = terms
         self.key = key
         self.until = until
         self.retry = retry
@@ -173,14 +188,13 @@
         """
         hop = self.hops[number]
         if hop.out and hop.begun:
-            hop.due = now + int(BROKEN_OFF * self.balancer.settings.tariffs[self.tariff].agreed)
+            hop.due = now + int(BROKEN_OFF * self.terms.agreed)
         elif hop.out:
-            self.balancer.answered(now, self.tariff, hop, now - hop.at)
+            self.balancer.answered(now, self.terms, hop, now - hop.at)
             hop.begun = True
             hop.trial = hop.judged = False
-            tariff = self.balancer.settings.tariffs[self.tariff]
-            hop.due = now + int(BROKEN_OFF * tariff.agreed)
-            if hop.due < self.until and not tariff.stream:
+            hop.due = now + int(BROKEN_OFF * self.terms.agreed)
+            if hop.due < self.until and not self.terms.tariff.stream:
                 self.balancer.outlet.wake(hop.due, self)
 
     def ended(self, now: int, number: int, outcome: Outcome, spent: int, finished: bool) -> None:
@@ -192,7 +206,7 @@
         hop.may_have_run = outcome not in NEVER_RAN
         if outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             self.balancer.found(outcome == Outcome.FULL)
-        self.balancer.hop_ended(now, self.tariff, hop, outcome, spent)
+        self.balancer.hop_ended(now, self.terms, hop, outcome, spent)
         if self.done:
             return
         if finished:
@@ -210,15 +224,15 @@
     def woke(self, now: int) -> None:
         """A hop has been out for the agreed time: hold that against its server, but let it go on."""
         balancer = self.balancer
-        agreed = balancer.settings.tariffs[self.tariff].agreed
+        agreed = self.terms.agreed
         for number, hop in enumerate(self.hops):
             if not hop.out or hop.judged:
                 continue
             if not hop.begun and now - hop.at >= agreed:
-                balancer.overdue(now, self.tariff, hop)
+                balancer.overdue(now, self.terms, hop)
             elif hop.begun and now < hop.due < self.until:
                 balancer.outlet.wake(hop.due, self)
-            elif hop.begun and not balancer.settings.tariffs[self.tariff].stream:
+            elif hop.begun and not self.terms.tariff.stream:
                 # Guards against answers that begin and never end: where it may run again, it does elsewhere.
                 balancer.verdict(now, hop, True, "answer broken off")
                 if not self.done and self.may_repeat(now):
@@ -236,7 +250,7 @@
 
         Raises PermissionError where no further hop is allowed at all.
         """
-        tariff = self.balancer.settings.tariffs[self.tariff]
+        tariff = self.terms.tariff
         for hop in self.hops:
             if hop.may_have_run:
                 if tariff.effect == Effect.IDEMPOTENT:
@@ -248,7 +262,7 @@
 
     def harmless(self) -> bool:
         """Whether a deferral's promise, that trying again does no harm, would be true."""
-        tariff = self.balancer.settings.tariffs[self.tariff]
+        tariff = self.terms.tariff
         if tariff.effect == Effect.IDEMPOTENT or not any(hop.may_have_run for hop in self.hops):
             return True
         return tariff.effect == Effect.DEDUPLICATED and tariff.group == Group.ALL
@@ -266,20 +280,33 @@
     def give_up(self, now: int) -> None:
         self.done = True
         if self.harmless():
-            self.balancer.outlet.defer(self.name, self.balancer.retry_in(self.tariff))
+            self.balancer.outlet.defer(self.name, self.balancer.retry_in(self.terms))
         else:
             self.balancer.outlet.forfeit(self.name)
 
     def send(self, now: int, server: int) -> None:
         balancer = self.balancer
-        self.hops.append(balancer.admit(now, self.tariff, server))
+        self.hops.append(balancer.admit(now, self.terms, server))
         self.out += 1
         balancer.outlet.send(self.name, balancer.ids[server], 0)
-        agreed = balancer.settings.tariffs[self.tariff].agreed
+        agreed = self.terms.agreed
         if now + agreed < self.until:
             balancer.outlet.wake(now + agreed, self)
 
 
+class Settling:
+    """Ends the stricter figures that hold while settings change."""
+
+    def __init__(self, balancer: Balancer, settings: Settings) -> None:
+        self.balancer = balancer
+        self.settings = settings
+
+    def woke(self, now: int) -> None:
+        if self.balancer.settling is self:
+            self.balancer.settling = None
+            self.balancer.settings = self.settings
+
+
 class Balancer:
     def __init__(self, settings: Settings, seed: int, outlet: Outlet) -> None:
         self.settings = settings
@@ -294,7 +321,6 @@
         self.cell: list[int] = []
         self.phase: list[Phase] = []
         self.scale: list[float] = []
-        self.held: list[float] = []  # submissions a core, as last listed, where scales fall with them
         self.tokens: list[float] = []  # what may be sent to a cold server at once
         self.tokens_at: list[int] = []
         self.sizes: dict[int, float] = {}  # the largest scale listed of each kind of server
@@ -303,7 +329,8 @@
         self.salt: list[int] = []
         self.ready: list[int] = []
         self.near: list[int] = []  # those of them that this sidecar uses
-        self.quota = sum(settings.quotas) / 1e6
+        self.settling: Settling | None = None
+        self.learn(settings)
         # The breakers.
         self.state: list[int] = []
         self.fails: list[int] = []
@@ -323,15 +350,12 @@
         self.lag_at: list[int] = []
         self.sent_cold: list[deque[int]] = []
         self.all_in_flight = 0
-        self.usual = [max(1.0, tariff.agreed / 4) for tariff in settings.tariffs]
-        self.calm = list(self.usual)
-        self.samples = [0] * len(settings.tariffs)
+        self.terms = tuple(Terms(tariff) for tariff in settings.tariffs)
         self.retries_left = 10.0
         # The turns at fresh servers begin at a point of this sidecar's own, however many others there are.
         # Guards a cold server against sidecars in step: were it a multiple of GOLDEN, each would come to the
         # same points that others do, some submissions later, and so all of them to one server in one window.
         self.turn = settings.me * SILVER % 1.0
-        self.place = settings.me * GOLDEN % 1.0
         self.gap = 0.0
         self.taken = 0
         self.taken_at = 0
@@ -342,7 +366,6 @@
         # How much may be out, how much could after the last cut, when that was, and the share of tardy hops.
         self.level = 0.0
         self.level_at = 0
-        self.span = sum(tariff.agreed for tariff in settings.tariffs) / max(1, len(settings.tariffs))
         self.room = math.inf
         self.calm_room = math.inf
         self.shrunk = 0
@@ -389,14 +412,16 @@
             self.choose_near(True)
 
     def choose_near(self, changed: bool = False) -> None:
-        """The servers that this sidecar uses: all, or, where connections cost, the first of an order of its own.
+        """The servers that this sidecar uses: all, or, where connections cost, the first of its own order.
 
-        Guards servers that take few connections, each of which costs, against hundreds of sidecars.  One whose
-        breaker is not closed stays among them for its trials, and the next in the order stands in for it.
+        Guards servers that take few connections, each of which costs, against hundreds of sidecars.  One
+        whose breaker is not closed stays among them for its trials; the next in the order stands in for it.
         """
         ready = self.ready
         price = self.settings.connection_price * self.settings.fleet
-        most = max(FEWEST, math.ceil(math.sqrt(SPREAD * 100 * len(ready) / price))) if price > 0 else len(ready)
+        most = len(ready)
+        if price > 0:
+            most = max(FEWEST, math.ceil(math.sqrt(SPREAD * 100 * len(ready) / price)))
         if most < len(ready):
             mine = mix(self.settings.me + 1)
             near = []
@@ -411,10 +436,43 @@
         self.near = ready
 
     def told(self, now: int, sender: int, data: bytes) -> None:
-        """A message of another sidecar: a hint, which may be late, garbled or from a build of another time."""
+        """A message of another sidecar: a hint, which may be late, garbled or from another build."""
         if not self.rests.told(now, data):
             self.ignored += 1
 
+    def adopt(self, now: int, settings: Settings) -> None:
+        """Go by other settings from now on; what has been taken ends under the terms it was taken under.
+
+        Breakers, samples and hops out stay.  Until the longer window has passed the rules' figures are the
+        stricter of both: guards budgets that were half spent, and sends that count as told by the old ones.
+        """
+        before, known = self.settings, {terms.tariff.name: terms for terms in self.terms}
+        self.terms = tuple(Terms(tariff, known.get(tariff.name)) for tariff in settings.tariffs)
+        if not any(terms.tariff.name in known for terms in self.terms):
+            # What may be out was learnt from other submissions.
+            self.room = self.calm_room = math.inf
+            self.tardy = self.full = 0.0
+        self.learn(settings)
+        self.settings = replace(
+            settings, cold_from=min(before.cold_from, settings.cold_from),
+            cold_for=max(before.cold_for, settings.cold_for),
+            most_hops=min(before.most_hops, settings.most_hops),
+            fall_multiple=min(before.fall_multiple, settings.fall_multiple),
+            fall_window=min(before.fall_window, settings.fall_window),
+            ask_every=min(before.ask_every, settings.ask_every))
+        self.settling = Settling(self, settings)
+        longest = max(self.settings.cold_for, before.fall_window, settings.fall_window)
+        self.outlet.wake(now + longest, self.settling)
+        self.choose_near(True)
+        if settings.must_ask:
+            self.woke(now)
+
+    def learn(self, settings: Settings) -> None:
+        """What follows from settings."""
+        self.span = sum(tariff.agreed for tariff in settings.tariffs) / max(1, len(settings.tariffs))
+        self.quota = sum(settings.quotas) / 1e6
+        self.place = settings.me * GOLDEN % 1.0
+
     def tell(self, now: int) -> None:
         """Tell some others what was seen here, never what they told: no hint feeds itself."""
         if now - self.told_at < TELL_EVERY or not self.settings.may_tell or self.settings.fleet < 2:
@@ -445,7 +503,7 @@
                                self.generation, self.trials, self.lag_at, self.came_up, self.told_up,
                                self.cooldown, self.tokens_at, self.rested):
                     column.append(0)
-                for shares in (self.scale, self.held, self.tokens, self.ill, self.queued, self.lag):
+                for shares in (self.scale, self.tokens, self.ill, self.queued, self.lag):
                     shares.append(0.0)
                 self.phase.append(Phase.GONE)
                 self.names.append("")
@@ -459,6 +517,7 @@
             self.state[at] = CLOSED
             self.fails[at] = self.since[at] = self.trials[at] = self.lag_at[at] = self.cooldown[at] = 0
             self.rested[at] = 0
+            self.scale[at] = 0.0
             self.ill[at] = self.queued[at] = 0.0
             self.lag[at] = 1.0
             self.late[at] = False
@@ -482,7 +541,7 @@
         self.weigh(at, entry)
 
     def weigh(self, at: int, entry: Entry) -> None:
-        """Take a listed scale for a size, or, where it falls with what the server holds, for what it holds.
+        """Take a listed scale for a size, or, where it falls with what is held, the largest of its kind.
 
         Guards keys against moving with each renewal, and cold servers, empty still, against looking large.
         """
@@ -490,10 +549,12 @@
         if not self.settings.live:
             self.scale[at] = scale
             return
+        if entry.kind < 0:
+            self.scale[at] = max(self.scale[at], scale)
+            return
         if scale > self.sizes.get(entry.kind, 0.0):
             self.sizes[entry.kind] = scale
         self.scale[at] = self.sizes[entry.kind]
-        self.held[at] = self.scale[at] / scale - 1.0
 
     def found(self, full: bool) -> None:
         """Whether a hop has found its server full.
@@ -518,10 +579,13 @@
 
     # -- taking
 
-    def take(self, now: int, name: int, tariff: int, key: int, retry: bool, until: int,
-             tenant: int = 0) -> Submission:
+    def take(self, now: int, name: int, tariff: int, key: int, retry: bool, until: int) -> Submission:
         """Take a submission; `until` is when its client gives up, a key of 0 means none."""
-        one = Submission(self, name, tariff, key, retry, until)
+        return self.take_under(now, name, self.terms[tariff], key, retry, until)
+
+    def take_under(self, now: int, name: int, terms: Terms, key: int, retry: bool, until: int) -> Submission:
+        """Take one under the terms that were in force when it was read, though others may be by now."""
+        one = Submission(self, name, terms, key, retry, until)
         if key:
             self.meet(key)
         self.retries_left = min(10.0, self.retries_left + 0.2)
@@ -554,19 +618,20 @@
             self.full_at = now
         if self.room == math.inf and self.full <= FULL_PART:
             return False
-        values = [tariff.gain / self.usual[at] for at, tariff in enumerate(self.settings.tariffs)]
-        value = min(2.0, max(0.5, values[one.tariff] * len(values) / sum(values)))
+        values = [terms.tariff.gain / terms.usual for terms in self.terms]
+        value = one.terms.tariff.gain / one.terms.usual * len(values) / max(1e-9, sum(values))
+        value = min(2.0, max(0.5, value))
         if one.retry:
             # Guards the room against submissions that come back when most of their agreed time has passed.
-            value *= max(0.2, self.settings.tariffs[one.tariff].late_gain)
+            value *= max(0.2, one.terms.tariff.late_gain)
         if self.settings.live:
-            if one.until - now < self.usual[one.tariff]:
+            if one.until - now < one.terms.usual:
                 value *= 0.3  # its client will hardly wait for the answer
             if self.chance.share() < min(0.97, FULL_GAIN * (self.full - FULL_PART) / value):
                 return True
             if self.room == math.inf:
                 return False
-        load = (min(self.level_now(now), self.all_in_flight) + self.usual[one.tariff] / self.span) / self.room
+        load = (min(self.level_now(now), self.all_in_flight) + one.terms.usual / self.span) / self.room
         return self.chance.share() < (load - 1.0) / 0.25 + min(4.0, 1.0 / value)
 
     def level_now(self, now: int) -> float:
@@ -578,7 +643,7 @@
         self.level_at = now
         return self.level
 
-    def judge_room(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
+    def judge_room(self, now: int, terms: Terms, hop: Hop, spent: int) -> None:
         """Let less be out while too many hops take long, more again while they do not.
 
         Guards against a jam that feeds itself: servers go on with work nobody waits for any more, so that at
@@ -588,10 +653,10 @@
         if hop.at <= self.shrunk or hop.server not in self.ready:
             return
         level = self.level_now(now)
-        agreed = self.settings.tariffs[tariff].agreed
+        agreed = terms.agreed
         tardy = spent > TARDY * agreed
         # Guards against taking keys new to a server for queues where work is short for its agreed time.
-        queued = spent > max(QUEUED * self.usual[tariff], QUEUED_PART * agreed)
+        queued = spent > max(QUEUED * terms.usual, QUEUED_PART * agreed)
         # The fewer submissions, the more each hop counts: guards idle sidecars against learning too late.
         self.tardy += min(0.2, max(0.06, self.gap / MEMORY)) * (tardy - self.tardy)
         self.queued[hop.server] += 0.2 * (queued - self.queued[hop.server])
@@ -603,7 +668,7 @@
             if self.room == math.inf:
                 self.outlet.log(f"limit on: {self.tardy:.2f} of hops tardy, {middle:.2f} of those at the "
                                 f"middle server queued, {self.calm_room:.1f} may be out")
-            self.room = self.calm_room = max(1.5 * self.usual[tariff] / self.span, self.calm_room)
+            self.room = self.calm_room = max(1.5 * terms.usual / self.span, self.calm_room)
             self.tardy = min(self.tardy, JAM / 2)
             self.queued = [share / 2 for share in self.queued]
         elif not tardy and level > self.room / 2:
@@ -612,13 +677,12 @@
             self.outlet.log(f"limit off: {self.tardy:.2f} of hops tardy, {level:.1f} out")
             self.room = math.inf
 
-    def retry_in(self, tariff: int) -> int:
-        agreed = self.settings.tariffs[tariff].agreed
-        return min(self.settings.most_retry_in, int(agreed * (0.5 + self.chance.share())))
+    def retry_in(self, terms: Terms) -> int:
+        return min(self.settings.most_retry_in, int(terms.agreed * (0.5 + self.chance.share())))
 
-    def bound_retry_in(self, tariff: int) -> int:
+    def bound_retry_in(self, terms: Terms) -> int:
         """For a host at the bound of its connections; it changes nothing, and needs no lock."""
-        return min(self.settings.most_retry_in, self.settings.tariffs[tariff].agreed)
+        return min(self.settings.most_retry_in, terms.agreed)
 
     def may_retry(self, one: Submission) -> bool:
         if not one.hops:
@@ -637,7 +701,7 @@
         except PermissionError:
             return -1
         tried = [hop.server for hop in one.hops]
-        tariff = self.settings.tariffs[one.tariff]
+        tariff = one.terms.tariff
         total = sum(self.scale[at] for at in self.ready) or 1.0
         order = []
         cold = []
@@ -673,7 +737,7 @@
             lag = self.lag_now(now, at)
             crowded = len(self.out[at]) >= 2 and len(self.out[at]) > PASS_OVER_MARGIN * fair
             stalled = len(self.out[at]) > 0 and now > self.out[at][0].due
-            slow = lag > 2.0 and self.usual[one.tariff] * lag > tariff.agreed / 2
+            slow = lag > 2.0 and one.terms.usual * lag > tariff.agreed / 2
             if not crowded and not slow and not stalled:
                 return at
             if fallback < 0:
@@ -725,7 +789,7 @@
         if (self.turn + self.salt[at] / MASK) % 1.0 >= limit * part / fewer:
             return False
         if self.quota > 0.0:
-            # What tenants may ask for tells what the fleet can do: guards a cold server against all that clients
+            # What tenants may ask for tells what the fleet can do: guards a cold server against what clients
             # repeat, and against a sidecar that carries far more than others.
             rate = limit * part * self.quota / (fewer * self.settings.fleet)
             self.tokens[at] = min(1.0, self.tokens[at] + rate * (now - self.tokens_at[at]))
@@ -735,7 +799,7 @@
         while sent and sent[0] <= now - self.settings.fall_window:
             sent.popleft()
         # In the times of calm: in a jam usual times are mostly waiting, and would hold warmed servers back.
-        usual = sum(self.calm) / len(self.calm)
+        usual = sum(terms.calm for terms in self.terms) / len(self.terms)
         return len(sent) < max(1, int(limit * self.settings.fall_window / usual))
 
     # -- breakers
@@ -753,7 +817,7 @@
             self.trip(now, at, "trial without verdict")
         return False
 
-    def admit(self, now: int, tariff: int, at: int) -> Hop:
+    def admit(self, now: int, terms: Terms, at: int) -> Hop:
         """Count a send, which makes an open breaker half-open and is then its trial."""
         if self.state[at] == OPEN and now - self.since[at] >= self.cooldown[at]:
             self.state[at] = HALF_OPEN
@@ -764,13 +828,13 @@
             # ended without a verdict, being taken for one that has been out since half-open began.
             self.since[at] = now
             self.trials[at] += 1
-        level = self.level_now(now) + self.usual[tariff] / self.span
+        level = self.level_now(now) + terms.usual / self.span
         self.all_in_flight += 1
         if self.warmth(now, at) < 1.0:
             self.tokens[at] -= 1.0
             if self.quota <= 0.0:
                 self.sent_cold[at].append(now)
-        due = now + int(max(STALL * self.usual[tariff], STALL_PART * self.settings.tariffs[tariff].agreed))
+        due = now + int(max(STALL * terms.usual, STALL_PART * terms.agreed))
         hop = Hop(now, due, at, self.zone[at], self.cell[at], self.generation[at], trial, level)
         if not self.out[at] and self.rested[at]:
             hop.rest = now - self.rested[at]
@@ -828,7 +892,7 @@
             if self.ill[at] < ILL / 2:
                 self.cooldown[at] = 0
 
-    def hop_ended(self, now: int, tariff: int, hop: Hop, outcome: Outcome, spent: int) -> None:
+    def hop_ended(self, now: int, terms: Terms, hop: Hop, outcome: Outcome, spent: int) -> None:
         self.out[hop.server].remove(hop)
         self.rested[hop.server] = now
         self.forget(hop.server)
@@ -837,9 +901,9 @@
         if hop.begun:
             self.verdict(now, hop, outcome in (Outcome.ERROR, Outcome.RESET), "broken stream")
         elif outcome == Outcome.OK:
-            self.answered(now, tariff, hop, spent)
-        elif outcome == Outcome.TIMEOUT and spent >= self.settings.tariffs[tariff].agreed:
-            self.overdue(now, tariff, hop)
+            self.answered(now, terms, hop, spent)
+        elif outcome == Outcome.TIMEOUT and spent >= terms.agreed:
+            self.overdue(now, terms, hop)
         elif outcome in NEUTRAL or outcome == Outcome.TIMEOUT:
             self.freed(hop)
         else:
@@ -849,22 +913,21 @@
         if hop.trial and hop.generation == self.generation[hop.server] and not hop.judged:
             self.trials[hop.server] -= 1
 
-    def answered(self, now: int, tariff: int, hop: Hop, spent: int) -> None:
-        agreed = self.settings.tariffs[tariff].agreed
+    def answered(self, now: int, terms: Terms, hop: Hop, spent: int) -> None:
         if not hop.judged:
-            self.judge_room(now, tariff, hop, spent)
+            self.judge_room(now, terms, hop, spent)
         if not hop.judged:
             self.rests.note(now, hop.rest, False)
-        self.sample(now, tariff, hop.server, spent)
-        late = spent > agreed and not self.all_late(hop.server)
+        self.sample(now, terms, hop.server, spent)
+        late = spent > terms.agreed and not self.all_late(hop.server)
         self.verdict(now, hop, late, "late" if late else "answered")
 
-    def overdue(self, now: int, tariff: int, hop: Hop) -> None:
+    def overdue(self, now: int, terms: Terms, hop: Hop) -> None:
         if hop.judged:
             return
         self.rests.note(now, hop.rest, True)
-        self.judge_room(now, tariff, hop, now - hop.at)
-        self.sample(now, tariff, hop.server, max(now - hop.at, self.settings.tariffs[tariff].agreed + 1))
+        self.judge_room(now, terms, hop, now - hop.at)
+        self.sample(now, terms, hop.server, max(now - hop.at, terms.agreed + 1))
         if not self.all_late(hop.server):
             self.verdict(now, hop, True, "overdue")
         elif hop.trial and hop.generation == self.generation[hop.server]:
@@ -884,19 +947,19 @@
 
     # -- what is seen
 
-    def sample(self, now: int, tariff: int, at: int, spent: int) -> None:
-        ratio = spent / self.usual[tariff]
+    def sample(self, now: int, terms: Terms, at: int, spent: int) -> None:
+        ratio = spent / terms.usual
         # The longer ago the last one, the more a sample counts: guards sidecars that seldom meet a server.
         part = max(0.3, 1.0 - math.exp((self.lag_at[at] - now) / MEMORY)) if self.lag_at[at] else 1.0
         self.lag[at] = self.lag_now(now, at) * (1.0 - part) + min(ratio, 20.0) * part
         self.lag_at[at] = now
-        self.late[at] = spent > self.settings.tariffs[tariff].agreed
+        self.late[at] = spent > terms.agreed
         # A quantile, moved a little by each answer: guards against a few stuck hops making all look late.
-        self.samples[tariff] += 1
-        step = max(0.01 if self.room == math.inf else 0.001, 0.3 / self.samples[tariff])
-        self.usual[tariff] *= 1.0 + step if spent > self.usual[tariff] else 1.0 - step
-        if self.samples[tariff] < 30 or self.usual[tariff] < self.calm[tariff]:
-            self.calm[tariff] = self.usual[tariff]
+        terms.samples += 1
+        step = max(0.01 if self.room == math.inf else 0.001, 0.3 / terms.samples)
+        terms.usual *= 1.0 + step if spent > terms.usual else 1.0 - step
+        if terms.samples < 30 or terms.usual < terms.calm:
+            terms.calm = terms.usual
 
     def lag_now(self, now: int, at: int) -> float:
         """How much longer than usual this server takes; fades to 1 when nothing is heard of it."""
--- a/pumicepath/settings.py
+++ b/pumicepath/settings.py
@@ -49,8 +49,84 @@
         group=GROUPS.get(entry.get("group", "cell"), Group.CELL),
         window=down(entry.get("windowS", 0.0)),
         stream=bool(entry.get("stream", False)),
+        name=str(entry.get("name", "")),
     )
 
 
+NUMBER = (0.0, math.inf)
+SHARE = (0.0, 1.0)
+COUNT = (0, 1 << 31)
+# Each key that is read, with its range or its words; what is not named here is skipped, as the wire asks.
+KEYS: dict[str, Any] = {
+    "me": COUNT, "fleetSize": (1, 1 << 31), "zone": COUNT,
+    "weights": ("off", "nominal", "rough", "live"), "membershipMode": ("pushed", "on_request"),
+    "prices.crossZone": NUMBER, "prices.connection": NUMBER,
+    "rules.askEveryS": NUMBER, "rules.coldFrom": SHARE, "rules.coldS": NUMBER, "rules.fallMultiple": NUMBER,
+    "rules.overloadForS": NUMBER, "policyLimits.mostHops": (1, 1 << 31),
+    "policyLimits.maxRetryAfterS": NUMBER,
+    "policyLimits.retryAfter": bool, "policyLimits.mayTell": bool, "policyLimits.connIdleS": NUMBER,
+    "policyLimits.dialTimeoutS": NUMBER,
+}
+IN_TARIFF: dict[str, Any] = {
+    "agreedTimeS": NUMBER, "patienceS": NUMBER, "gain": NUMBER, "lateGain": NUMBER, "windowS": NUMBER,
+    "effect": tuple(EFFECTS), "group": tuple(GROUPS), "stream": bool,
+}
+IN_TENANT: dict[str, Any] = {"quotaPerS": NUMBER}
+# What may be set and the platform of real sidecars has no way for, with the values that ask for nothing.
+IDLE_KEYS: dict[str, tuple] = {
+    "policyLimits.mayTell": (None, False), "policyLimits.streamsPerConn": (None, 1),
+    "report.how": (None, "off"),
+}
+
+
+def check(info: dict[str, Any]) -> None:
+    """Raises ValueError that names the first key whose value can't be meant."""
+    for part in ("prices", "rules", "policyLimits"):
+        if not isinstance(info.get(part, {}), dict):
+            raise ValueError(f"settings.{part} is no object")
+    for key, allowed in KEYS.items():
+        check_one("settings." + key, found(info, key), allowed)
+    for part, keys in (("tariffs", IN_TARIFF), ("tenants", IN_TENANT)):
+        names = []
+        for at, entry in enumerate(info.get(part) or []):
+            if not isinstance(entry, dict):
+                raise ValueError(f"settings.{part}[{at}] is no object")
+            for key, allowed in keys.items():
+                check_one(f"settings.{part}[{at}].{key}", entry.get(key), allowed)
+            names.append(str(entry.get("name", at)))
+        if len(set(names)) < len(names):
+            raise ValueError(f"settings.{part}: one name twice")
+    if "fleetSize" in info and info.get("me", 0) >= info["fleetSize"]:
+        raise ValueError(f"settings.me: {info['me']} is none of {info['fleetSize']} sidecars")
+    if info.get("dcs") and info.get("zone", 0) >= len(info["dcs"]):
+        raise ValueError(f"settings.zone: {info['zone']} is none of {len(info['dcs'])} dcs")
+
+
+def found(info: dict[str, Any], key: str) -> Any:
+    part, _, name = key.rpartition(".")
+    return (info.get(part) or {}).get(name) if part else info.get(name)
+
+
+def check_one(key: str, value: Any, allowed: Any) -> None:
+    if value is None:
+        return
+    if allowed is bool:
+        fits = isinstance(value, bool)
+    elif isinstance(allowed[0], str):
+        fits = value in allowed
+    else:
+        kinds = (int,) if isinstance(allowed[0], int) else (int, float)
+        fits = isinstance(value, kinds) and not isinstance(value, bool) and allowed[0] <= value <= allowed[1]
+    if not fits:
+        wanted = "true or false" if allowed is bool else " or ".join(
+            map(str, allowed)) if isinstance(allowed[0], str) else f"from {allowed[0]} to {allowed[1]}"
+        raise ValueError(f"{key}: {value!r} is not {wanted}")
+
+
+def without_effect(info: dict[str, Any]) -> list[str]:
+    """Keys that are set and do nothing in a real sidecar."""
+    return [key for key, nothing in IDLE_KEYS.items() if found(info, key) not in nothing]
+
+
 def down(seconds: float) -> int:
     return math.floor(seconds * 1e6 + 0.001)
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -141,13 +141,14 @@
             return False
         size, name, expires, retry = seen
         dispatcher = self.owner.dispatcher
-        tariff = dispatcher.config.tariffs.get(name)
+        config, terms = dispatcher.serving
+        tariff = config.tariffs.get(name)
         if tariff is None or not self.enter(BUSY):
             return False
-        patience = dispatcher.config.settings.tariffs[tariff].patience
+        patience = terms[tariff].tariff.patience
         if expires:
             patience = min(patience, int(expires) * 1000)
-        usual = dispatcher.balancer.usual[tariff]
+        usual = terms[tariff].usual
         self.inside = dispatcher.entrance.enter(arrived, arrived + patience, tariff, retry, usual)
         if self.inside:
             return False
@@ -197,7 +198,7 @@
         if request.target == "/up" and request.method in ("GET", "HEAD"):
             self.answer(answers.READY if dispatcher.balancer.ready else answers.NOT_READY, True)
             return None
-        config = dispatcher.config
+        config, terms = dispatcher.serving
         try:
             what = asked(request, config.tariffs, config.settings.tariffs)
         except Malformed as trouble:
@@ -207,10 +208,10 @@
             # All connections that the limits allow are in use: nothing went out, so trying again is harmless.
             # The connection stays: a new one would cost more than this answer.
             self.owner.refused["no room"] += 1
-            self.answer(answers.deferred(dispatcher.balancer.bound_retry_in(what.tariff)), True)
+            self.answer(answers.deferred(dispatcher.balancer.bound_retry_in(terms[what.tariff])), True)
             return None
         if not self.inside:
-            usual = dispatcher.balancer.usual[what.tariff]
+            usual = terms[what.tariff].usual
             self.inside = dispatcher.entrance.enter(arrived, arrived + what.patience, what.tariff, what.retry,
                                                     usual)
             if not self.inside:
@@ -226,7 +227,7 @@
         exchange.last = arrived + what.patience
         self.answered.clear()
         try:
-            if dispatcher.take(exchange, what.tariff, what.key, what.retry):
+            if dispatcher.take(exchange, terms[what.tariff], what.key, what.retry):
                 self.errors = 0
                 return exchange
         except Exception:
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -35,7 +35,7 @@
     """The listener and all connections it has accepted."""
 
     def __init__(self, dispatcher: Dispatcher) -> None:
-        config = dispatcher.config
+        config = dispatcher.serving[0]
         self.dispatcher = dispatcher
         self.most = config.from_clients
         self.open: dict[Client, None] = {}
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -9,7 +9,7 @@
 
 from ..discovery.roster import Address, BadList, Roster, address
 from ..interface import Settings
-from ..settings import decode
+from ..settings import check, decode, without_effect
 
 KEPT_BACK = 48              # descriptors for the listener, discovery, files, and clients beyond the bound
 OWN_MB = 24                 # memory before the first connection, with room for the list
@@ -36,6 +36,7 @@
     pushed: bool
     idle: int
     dial: int
+    idle_keys: tuple[str, ...]
 
     @property
     def from_clients(self) -> int:
@@ -59,6 +60,7 @@
 
 def config(told: dict[str, Any]) -> Config:
     info = told["settings"]
+    check(info)
     limits, allowed = told.get("limits", {}), info.get("policyLimits", {})
     memory = float(limits.get("memory_mb", 192))
     held = memory * HELD_PART
@@ -86,4 +88,5 @@
         pushed=info.get("membershipMode") != "on_request",
         idle=int(allowed.get("connIdleS", 30.0) * 1e6),
         dial=int(allowed.get("dialTimeoutS", 1.0) * 1e6),
+        idle_keys=tuple(without_effect(info)),
     )
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -13,7 +13,7 @@
 from ..http1.parsing import ResponseParser
 from ..interface import Listing, Outcome, Wakeable
 from ..invariants import must
-from ..logic import Balancer, Submission
+from ..logic import Balancer, Submission, Terms
 from . import answers, clock
 from .config import Config
 from .entrance import Entrance
@@ -25,6 +25,9 @@
 TOO_LATE = 10_000            # from when our own threads' delay tells on what servers are judged by
 
 
+Serving = tuple[Config, tuple[Terms, ...]]
+
+
 class Turn:
     """A call on the balancer, and what it led to."""
 
@@ -54,7 +57,6 @@
 
 class Dispatcher:
     def __init__(self, config: Config, log: Log, follow: Callable[[], None]) -> None:
-        self.config = config
         self.events = log
         self.on_follow = follow
         self.lock = threading.Lock()
@@ -72,6 +74,9 @@
         self.traces: set[str] = set()
         self.expiring: deque[tuple[int, str]] = deque()
         self.balancer = Balancer(config.settings, config.seed, self)
+        # What requests are read by, replaced as one: whoever reads one takes it once and keeps to it.
+        self.serving: Serving = (config, self.balancer.terms)
+        self.longest = max(tariff.patience for tariff in config.settings.tariffs)
         self.entrance = Entrance(config)
         self.pace = Pace(self, self.entrance)
 
@@ -156,7 +161,17 @@
 
     # -- what happens to submissions
 
-    def take(self, exchange: Exchange, tariff: int, key: int, retry: bool) -> bool:
+    def adopt(self, config: Config) -> None:
+        """Go by another configuration, in one step; what has been read ends under what it was read by."""
+        def call(now: int) -> None:
+            self.balancer.adopt(now, config.settings)
+            self.pool.adopt(config)
+            self.serving = (config, self.balancer.terms)
+            self.longest = max(self.longest, *(tariff.patience for tariff in config.settings.tariffs))
+        self.entrance.adopt(config)
+        self.decide(call)
+
+    def take(self, exchange: Exchange, terms: Terms, key: int, retry: bool) -> bool:
         """Whether it was taken.
 
         Guards a submission that may still run against another one under its id, until its patience is over.
@@ -171,7 +186,8 @@
             self.taken += 1
             exchange.number = self.taken
             self.exchanges[exchange.number] = exchange
-            exchange.handle = self.balancer.take(now, exchange.number, tariff, key, retry, exchange.until)
+            exchange.handle = self.balancer.take_under(now, exchange.number, terms, key, retry,
+                                                       exchange.until)
             if not exchange.answered:
                 self.wake(exchange.until, exchange)
             self.forget(exchange)
@@ -312,6 +328,12 @@
     def probe(self, server: int) -> None:
         """No decision asks for probes yet."""
 
+    def free_links(self, server: int) -> None:
+        self.pool.free(server)
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """The platform says nothing of messages between sidecars: the hint is lost, as hints may be."""
+
     def follow(self) -> None:
         self.after.append(self.on_follow)
 
--- a/pumicepath/sidecar/entrance.py
+++ b/pumicepath/sidecar/entrance.py
@@ -32,6 +32,10 @@
                                               config.seed)
         self.gate = threading.Lock()
 
+    def adopt(self, config: Config) -> None:
+        with self.gate:
+            self.intake.adopt(config.settings.tariffs, config.settings.most_retry_in)
+
     def enter(self, arrived: int, until: int, tariff: int, retry: bool, usual: float) -> bool:
         """Wait to be taken up; False if the request is turned away.  True must be followed by `leave`."""
         waiting = Waiting()
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -30,7 +30,7 @@
 ONE_HEAP = {"M_ARENA_MAX": (-8, 1), "M_MMAP_THRESHOLD": (-3, 32 << 20), "M_TRIM_THRESHOLD": (-1, 32 << 20)}
 SWITCH = 0.02
 COMING = 0.5                # how long new connections may still come after SIGTERM, with room to spare
-RESTART = ("name", "listen", "connections", "zones", "tariffs", "settings", "pushed", "idle", "dial")
+FIXED = ("name", "listen", "limits")  # keys of the file that are read at the start only
 LAST = 0.5                  # past the longest patience, when to end whatever is left
 
 
@@ -76,7 +76,7 @@
               checks="asserted" if __debug__ else "counted", form=compiled.FORM)
     start(clients.run)
     while signal.sigwait(signals) == signal.SIGHUP:
-        config = reload(config, path, watcher, log)
+        config = reload(config, path, dispatcher, watcher, log)
     drain(dispatcher, clients, log)
 
 
@@ -88,18 +88,39 @@
             mallopt(option, value)
 
 
-def reload(config: Config, path: str, watcher: Watcher, log: Log) -> Config:
-    """Read the file again and follow its discovery; what else is new in it waits for the next start."""
+def reload(config: Config, path: str, dispatcher: Dispatcher, watcher: Watcher, log: Log) -> Config:
+    """Read the file again and go by it, whole or not at all; what is fixed while it runs is named."""
     try:
         new = settings.read(path)
     except BadConfig as trouble:
         log.event("reload_failed", text=str(trouble))
         return config
-    if new.discovery != config.discovery:
-        watcher.move(new.discovery)
-    waiting = [name for name in RESTART if getattr(new, name) != getattr(config, name)]
-    log.event("reloaded", discovery=f"{new.discovery.host}:{new.discovery.port}", needs_restart=waiting)
-    return replace(config, discovery=new.discovery)
+    waiting = [key for key in FIXED if fixed(new, key) != fixed(config, key)]
+    new = replace(new, name=config.name, listen=config.listen, connections=config.connections,
+                  held=config.held, seed=config.seed)
+    before, after = config.settings, localised(new, watcher.watch.roster).settings
+    changed = after != before or (new.zones, new.idle, new.dial) != (
+        config.zones, config.idle, config.dial)
+    if changed:
+        dispatcher.adopt(replace(new, settings=after))
+    if changed or new.discovery != config.discovery:
+        # Before long the old waits, and what the old discovery told, count for nothing.
+        watcher.move(new.discovery, 2 * min(before.ask_every, after.ask_every))
+    log.event("reloaded", discovery=f"{new.discovery.host}:{new.discovery.port}", settings=changed,
+              tariffs=list(new.tariffs), without_effect=list(new.idle_keys), needs_restart=waiting)
+    return replace(new, settings=after)
+
+
+def fixed(config: Config, key: str) -> object:
+    return (config.connections, config.held) if key == "limits" else getattr(config, key)
+
+
+def localised(config: Config, roster: Roster) -> Config:
+    """With its zone by the number that the roster has for it."""
+    if not config.zones:
+        return config
+    zone = roster.zone(config.zones[config.settings.zone])
+    return replace(config, settings=replace(config.settings, zone=zone))
 
 
 class Watchman:
@@ -128,7 +149,7 @@
     began = monotonic()
     dispatcher.draining = True
     log.event("draining", clients=len(clients.open), out=len(dispatcher.exchanges))
-    patience = max(tariff.patience for tariff in dispatcher.config.settings.tariffs) / 1e6
+    patience = dispatcher.longest / 1e6
     while monotonic() - began < COMING:
         sleep(0.01)
     while monotonic() - began < patience + LAST:
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -225,9 +225,7 @@
         self.owner = owner
         self.log = log
         self.most = config.to_servers
-        self.dial = config.dial
-        # Well ahead of the server, whose closing would cross a hop that is being written.
-        self.retire = max(config.idle // 2, min(config.idle * 9 // 10, config.idle - 1_000_000))
+        self.adopt(config)
         self.idle: dict[int, list[Link]] = {}
         self.open = 0
         self.origins: dict[int, Origin] = {}
@@ -235,6 +233,17 @@
         self.rests = Rests()
         self.held = Budget(config.held)
 
+    def adopt(self, config: Config) -> None:
+        """Go by other settings from now on."""
+        self.dial = config.dial
+        # Well ahead of the server, whose closing would cross a hop that is being written.
+        self.retire = max(config.idle // 2, min(config.idle * 9 // 10, config.idle - 1_000_000))
+
+    def free(self, server: int) -> None:
+        """Close the idle connections to a server."""
+        for link in self.idle.pop(server, []):
+            link.kill()
+
     def listed(self, update: Update) -> None:
         """Forget servers that want nothing new, and the connections to processes that have ended."""
         origins = {} if update.whole else dict(self.origins)
--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -33,10 +33,11 @@
     def follow(self) -> None:
         self.wanted.set()
 
-    def move(self, where: Address) -> None:
-        """Discovery is elsewhere from now on; whatever the watch waits for, it asks there at once."""
+    def move(self, where: Address, wait_us: int) -> None:
+        """Discovery is elsewhere from now on, or waits are others; the whole list is asked for at once."""
         with self.gate:
             self.where = where
+            self.watch.waits(wait_us)
             self.moved_at = monotonic()
             self.moved = True
             if self.sock is not None:
--- a/pumicepath/wirehost/host.py
+++ b/pumicepath/wirehost/host.py
@@ -116,9 +116,9 @@
         if instance is None:
             return
         if code == frames.INGRESS:
-            _, name, tenant, key, marks, _, until, tariff = fields
+            _, name, _, key, marks, _, until, tariff = fields
             instance.handles[name] = instance.balancer.take(
-                now, name, tariff, key, bool(marks & 2), micros(until), tenant)
+                now, name, tariff, key, bool(marks & 2), micros(until))
         elif code == frames.REPORT:
             _, name, complete, status, spent, _, hop = fields
             if status not in OUTCOMES:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -65,6 +65,12 @@
     def probe(self, server: int) -> None:
         self.note(f"probe of {server}")
 
+    def tell(self, peer: int, data: bytes) -> None:
+        self.note(f"tells {peer}: {data.hex()}")
+
+    def free_links(self, server: int) -> None:
+        self.note(f"connections to {server} freed")
+
     def follow(self) -> None:
         self.note("asks to follow the list")
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -139,7 +139,7 @@
             if bench.sent[-1] == 10:
                 sends.append(bench.now)
             bench.at(1.004 + step * 0.005).end(one, Outcome.OK)
-        width, usual = 3 * SECOND, bench.balancer.usual[0]
+        width, usual = 3 * SECOND, bench.balancer.terms[0].usual
         for at in sends:
             level = 0.2 + 0.8 * at / (20 * SECOND)
             share = max(2, 2.5 * level * width / usual / 3)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -186,7 +186,7 @@
 def test_at_the_bound_connections_that_rest_make_room_and_open_requests_do_not(tmp_path: Path) -> None:
     owner = Owner()
     limits = {"memory_mb": 192, "sockets": 60}
-    owner.config = config.config({**Deployment(tmp_path, 0).told, "limits": limits})
+    owner.serving = (config.config({**Deployment(tmp_path, 0).told, "limits": limits}), ())
     owner.dispatcher = owner
     around = Clients(owner)
     states = [IDLE, FRESH, BUSY, IDLE, PARTIAL, IDLE, FRESH, BUSY, IDLE, IDLE, IDLE, PARTIAL, IDLE]
