--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -518,6 +518,9 @@
             self.fails[at] = self.since[at] = self.trials[at] = self.lag_at[at] = self.cooldown[at] = 0
             self.rested[at] = 0
             self.scale[at] = 0.0
+            # Each sidecar begins elsewhere: guards a fresh server against all first hops coming together.
+            self.tokens[at] = (self.place + self.salt[at] / MASK) % 1.0
+            self.tokens_at[at] = now
             self.ill[at] = self.queued[at] = 0.0
             self.lag[at] = 1.0
             self.late[at] = False
@@ -534,7 +537,7 @@
             self.cooldown[at] = 0
             self.ill[at] = 0.0
             self.lag[at] = 1.0
-            self.tokens[at] = self.chance.share()
+            self.tokens_at[at] = now
         self.zone[at] = entry.zone
         self.cell[at] = entry.cell
         self.phase[at] = entry.phase
