--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -30,6 +30,7 @@
 STALL = 1.0                 # usual times from which a hop still out marks its server as stalled, and
 STALL_PART = 0.1            # the part of its agreed time that it must be out too
 TARDY = 0.7                 # part of the agreed time from which a hop is tardy
+RETRY_PART = 0.2            # of its value that counts of a submission that its client sends again
 JAM = 0.4                   # share of tardy or queued hops that cuts what may be out
 SOME = 0.05                 # share of tardy hops from which the middle server's queue counts
 GROWTH = 0.12               # how fast the limit rises, as a part of it for each usual time
@@ -626,7 +627,7 @@
         value = min(2.0, max(0.5, value))
         if one.retry:
             # Guards the room against submissions that come back when most of their agreed time has passed.
-            value *= max(0.2, one.terms.tariff.late_gain)
+            value *= RETRY_PART
         if self.settings.live:
             if one.until - now < one.terms.usual:
                 value *= 0.3  # its client will hardly wait for the answer
