Cold budgets hold across a change of settings; a change of cell alone is noted

Cause, by one read of the whole change: a live renewal took entries by phase and start only, so that a new cell would have been missed (the group of a repeat); a change between budgets by quota and by window let the one start full; an infinite time ended in a text without its key. Change: sends to cold servers are kept in both reckonings, both hold until the longer window has passed, tokens start empty.

--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -306,6 +306,7 @@
         if self.balancer.settling is self:
             self.balancer.settling = None
             self.balancer.settings = self.settings
+            self.balancer.learn(self.settings)
 
 
 class Balancer:
@@ -331,6 +332,7 @@
         self.ready: list[int] = []
         self.near: list[int] = []  # those of them that this sidecar uses
         self.settling: Settling | None = None
+        self.quota = 0.0
         self.learn(settings)
         # The breakers.
         self.state: list[int] = []
@@ -401,7 +403,8 @@
                     self.phase[at] = Phase.GONE
         for entry in entries:
             at = self.index.get(entry.server, -1)
-            if at >= 0 and entry.phase == self.phase[at] and entry.came_up == self.told_up[at]:
+            if at >= 0 and (entry.phase, entry.came_up, entry.zone, entry.cell) == (
+                    self.phase[at], self.told_up[at], self.zone[at], self.cell[at]):
                 self.weigh(at, entry)  # all that a renewal of live scales costs
             elif entry.phase != Phase.GONE or at >= 0:
                 self.note(now, entry)
@@ -453,7 +456,12 @@
             # What may be out was learnt from other submissions.
             self.room = self.calm_room = math.inf
             self.tardy = self.full = 0.0
+        quota = self.quota
         self.learn(settings)
+        if not self.quota or 0.0 < quota < self.quota:
+            self.quota = quota
+        self.tokens = [min(0.0, tokens) for tokens in self.tokens]
+        self.tokens_at = [now] * len(self.tokens)
         self.settings = replace(
             settings, cold_from=min(before.cold_from, settings.cold_from),
             cold_for=max(before.cold_for, settings.cold_for),
@@ -798,7 +806,8 @@
             rate = limit * part * self.quota / (fewer * self.settings.fleet)
             self.tokens[at] = min(1.0, self.tokens[at] + rate * (now - self.tokens_at[at]))
             self.tokens_at[at] = now
-            return self.tokens[at] >= 1.0
+            if self.tokens[at] < 1.0 or self.settling is None:
+                return self.tokens[at] >= 1.0
         sent = self.sent_cold[at]
         while sent and sent[0] <= now - self.settings.fall_window:
             sent.popleft()
@@ -835,9 +844,12 @@
         level = self.level_now(now) + terms.usual / self.span
         self.all_in_flight += 1
         if self.warmth(now, at) < 1.0:
-            self.tokens[at] -= 1.0
-            if self.quota <= 0.0:
-                self.sent_cold[at].append(now)
+            sent = self.sent_cold[at]
+            sent.append(now)
+            while sent[0] <= now - self.settings.fall_window:
+                sent.popleft()
+            if self.quota > 0.0:
+                self.tokens[at] -= 1.0
         due = now + int(max(STALL * terms.usual, STALL_PART * terms.agreed))
         hop = Hop(now, due, at, self.zone[at], self.cell[at], self.generation[at], trial, level)
         if not self.out[at] and self.rested[at]:
--- a/pumicepath/settings.py
+++ b/pumicepath/settings.py
@@ -53,7 +53,7 @@
     )
 
 
-NUMBER = (0.0, math.inf)
+NUMBER = (0.0, 1e9)
 SHARE = (0.0, 1.0)
 COUNT = (0, 1 << 31)
 # Each key that is read, with its range or its words; what is not named here is skipped, as the wire asks.
@@ -88,6 +88,8 @@
         check_one("settings." + key, found(info, key), allowed)
     for part, keys in (("tariffs", IN_TARIFF), ("tenants", IN_TENANT)):
         names = []
+        if not isinstance(info.get(part) or [], list):
+            raise ValueError(f"settings.{part} is no list")
         for at, entry in enumerate(info.get(part) or []):
             if not isinstance(entry, dict):
                 raise ValueError(f"settings.{part}[{at}] is no object")
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -178,6 +178,28 @@
     check("adopted", bench)
 
 
+def test_cold_budget_holds_across_a_change_of_settings_whichever_way_it_is_reckoned() -> None:
+    sent = []
+    plain = settings(fleet=1, cold_for=1000 * SECOND, cold_from=0.5)
+    quotas = dataclasses.replace(plain, quotas=(40.0,))
+    for first, then in ((plain, plain), (plain, quotas), (quotas, plain), (quotas, quotas)):
+        bench = Bench(first, [entry(at) for at in range(1, 4)] + [entry(4, came_up=1)])
+        for step in range(600):  # 200 a second
+            if step == 300:
+                bench.balancer.adopt(bench.now, then)
+            bench.end(bench.at(1 + step / 200).take(step, step % 50 + 1), Outcome.OK)
+        sent.append(bench.sent.count(4))
+    # No change lets more through than the way it was reckoned before would have.
+    assert sent[1] <= sent[0] and sent[2] <= sent[3] + 1 and min(sent) > 10, sent
+
+
+def test_server_that_changes_its_cell_or_zone_only_is_known_by_the_new_one() -> None:
+    bench = Bench(settings(live=True), live(1.0, 1.0))
+    bench.balancer.listed(0, Listing.CHANGES, [Entry(1, 2, 7, Phase.READY, 1.0, 0, "", 0)])
+    at = bench.balancer.index[1]
+    assert (bench.balancer.zone[at], bench.balancer.cell[at]) == (2, 7)
+
+
 def test_every_sidecar_of_a_pool_restarted_beside_a_cold_server_keeps_the_budget() -> None:
     lines = []
     for fleet in (20, 200):
