--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -40,7 +40,10 @@
 COLD_PART = 0.55             # of what the rules let all sidecars together send to a cold server
 GOLDEN = 0.6180339887498949  # its multiples fill the unit interval evenly, however many are taken
 SILVER = 0.41421356237309515  # so do these; no sum of multiples of both comes twice
-FULL_PART = 0.05            # share of hops that find a server full above which less is taken on, and
+FULL_PART = 0.05            # share of hops that find servers full above which less is taken on, and
+FULL_STEP = 0.25            # what each hop counts in that share, and
+FULL_MEMORY = 1.5e6         # how fast it is forgotten
+HASTY_PART = 0.3            # of its value that counts of one whose client will hardly wait for the answer
 FULL_GAIN = 3.0             # how much less, for each time of that share
 SPREAD = 0.025              # worth of choice against the price of connections, for how many servers one uses
 FEWEST = 4                  # servers that a sidecar uses at least, where connections cost
@@ -50,6 +53,8 @@
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
 SHORT = 17                  # rests under 2 to the power of this, in microseconds, are one length
 RESTS = 8                   # lengths of rests that are told apart, each twice the one before
+REST_LOST = 0.55            # part of them in vain, above the usual, that tells of dropped connections, and
+REST_LOSSES = 3.0           # how many in vain at least
 REST_MEMORY = 2e6           # how fast it is forgotten what rests did, and
 REST_HELD = 15_000_000      # how long connections are freed for it, until that is tried anew
 PEERS = 6                   # other sidecars that are told of it, and
@@ -108,9 +113,9 @@
             self.lost[each] *= fading
         self.used[length] += used
         self.lost[length] += lost
-        usual = 0.55 + self.lost[0] / (1.0 + self.used[0])
+        usual = REST_LOST + self.lost[0] / (1.0 + self.used[0])
         limit = next((1 << SHORT + each - 1 for each in range(1, RESTS)
-                      if self.lost[each] > max(3.0, usual * self.used[each])), MASK)
+                      if self.lost[each] > max(REST_LOSSES, usual * self.used[each])), MASK)
         if limit < self.limit or now > self.until:
             self.limit = limit
             self.until = now + REST_HELD
@@ -439,7 +444,7 @@
             self.draws.clear()
         self.near = ready
 
-    def told(self, now: int, sender: int, data: bytes) -> None:
+    def told(self, now: int, data: bytes) -> None:
         """A message of another sidecar: a hint, which may be late, garbled or from another build."""
         if not self.rests.told(now, data):
             self.ignored += 1
@@ -573,7 +578,7 @@
 
         Guards servers against choking before a list can tell: this is known at once.
         """
-        self.full += 0.25 * (full - self.full)
+        self.full += FULL_STEP * (full - self.full)
 
     def started(self, now: int, entry: Entry) -> int:
         """When a listed server came up, as far as that can be.
@@ -626,7 +631,7 @@
     def turned_away(self, now: int, one: Submission) -> bool:
         """Close to the limit of what may be out, submissions are turned away by chance, cheap ones sooner."""
         if self.settings.live:
-            self.full *= math.exp((self.full_at - now) / 1.5e6)
+            self.full *= math.exp((self.full_at - now) / FULL_MEMORY)
             self.full_at = now
         if self.room == math.inf and self.full <= FULL_PART:
             return False
@@ -638,7 +643,7 @@
             value *= RETRY_PART
         if self.settings.live:
             if one.until - now < one.terms.usual:
-                value *= 0.3  # its client will hardly wait for the answer
+                value *= HASTY_PART
             if self.chance.share() < min(0.97, FULL_GAIN * (self.full - FULL_PART) / value):
                 return True
             if self.room == math.inf:
@@ -808,12 +813,16 @@
             self.tokens_at[at] = now
             if self.tokens[at] < 1.0 or self.settling is None:
                 return self.tokens[at] >= 1.0
+        # In the times of calm: in a jam usual times are mostly waiting, and would hold warmed servers back.
+        usual = sum(terms.calm for terms in self.terms) / len(self.terms)
+        return len(self.sent_lately(now, at)) < max(1, int(limit * self.settings.fall_window / usual))
+
+    def sent_lately(self, now: int, at: int) -> deque[int]:
+        """When a cold server was sent something, within the rules' window."""
         sent = self.sent_cold[at]
         while sent and sent[0] <= now - self.settings.fall_window:
             sent.popleft()
-        # In the times of calm: in a jam usual times are mostly waiting, and would hold warmed servers back.
-        usual = sum(terms.calm for terms in self.terms) / len(self.terms)
-        return len(sent) < max(1, int(limit * self.settings.fall_window / usual))
+        return sent
 
     # -- breakers
 
@@ -844,10 +853,7 @@
         level = self.level_now(now) + terms.usual / self.span
         self.all_in_flight += 1
         if self.warmth(now, at) < 1.0:
-            sent = self.sent_cold[at]
-            sent.append(now)
-            while sent[0] <= now - self.settings.fall_window:
-                sent.popleft()
+            self.sent_lately(now, at).append(now)
             if self.quota > 0.0:
                 self.tokens[at] -= 1.0
         due = now + int(max(STALL * terms.usual, STALL_PART * terms.agreed))
--- a/pumicepath/wirehost/host.py
+++ b/pumicepath/wirehost/host.py
@@ -149,8 +149,8 @@
             if handle is not None:
                 handle.started(now, fields[2])
         elif code == frames.DATAGRAM:
-            _, sender, offset, size = fields
-            instance.balancer.told(now, sender, bytes(frames.part(tail, offset, size)))
+            _, _, offset, size = fields
+            instance.balancer.told(now, bytes(frames.part(tail, offset, size)))
         elif code == frames.PROBED and fields[2] not in OUTCOMES:
             raise Malformed(f"unknown outcome {fields[2]}")
 
