--- /dev/null
+++ b/pumicepath/admin/figures.py
@@ -0,0 +1,51 @@
+"""What is counted and how it is written: `count` from any thread, `written` for whoever asks."""
+
+from __future__ import annotations
+
+import re
+import threading
+from collections import Counter, deque
+from collections.abc import Iterable
+
+PREFIX = "edge_gw"
+MOST_NAMES = 1000           # of figures kept, those of classes that are gone among them
+OUTCOMES = ("answered", "deferred", "errored")
+UNFIT = re.compile(r"[^!-<>-~]")  # what would break a line of the form
+
+
+def outcome(status: int) -> str:
+    """What an answer counts as."""
+    return "answered" if status == 200 else "deferred" if status in (429, 503) else "errored"
+
+
+class Figures:
+    """Counts from the start of the process.  Counting is an append: it needs no lock, and nobody waits."""
+
+    def __init__(self) -> None:
+        self.came: deque[str] = deque()
+        self.counts: Counter[str] = Counter()
+        self.gate = threading.Lock()
+
+    def count(self, name: str) -> None:
+        self.came.append(name)
+
+    def ended(self, group: str, status: int) -> None:
+        """A submission of this class has its final answer."""
+        self.came.append(f"{outcome(status)}.{group}")
+
+    def sum(self) -> None:
+        """Now and then, so that little waits."""
+        with self.gate:
+            came = self.came
+            for name in [came.popleft() for _ in range(len(came))]:
+                # Guards the memory against classes that come and go for as long as the process runs.
+                if name in self.counts or len(self.counts) < MOST_NAMES:
+                    self.counts[name] += 1
+
+    def written(self, groups: Iterable[str], now: dict[str, int]) -> str:
+        """One line each: what was counted, the classes in force from 0 on, and what is so now."""
+        self.sum()
+        counted = {"sends": 0, **{f"{each}.{group}": 0 for group in groups for each in OUTCOMES}}
+        counted.update(self.counts)
+        lines = {**counted, **now}.items()
+        return "".join(f"{PREFIX}.{UNFIT.sub('_', name)}={value}\n" for name, value in lines)
--- a/pumicepath/lab/loopback/scripted.py
+++ b/pumicepath/lab/loopback/scripted.py
@@ -100,6 +100,7 @@
         self.config = folder / "config.json"
         self.config.write_text(json.dumps(self.told))
         self.number = 0
+        self.environment: dict[str, str] = {}
 
     def listing(self, seq: int, whole: bool, health: str) -> dict:
         return {"seq": seq, "whole": whole, "hosts": [
@@ -109,11 +110,14 @@
     @contextmanager
     def running(self) -> Iterator[Deployment]:
         command = [sys.executable, "-m", "pumicepath", "serve"]
-        environment = {**os.environ, "GW_CONFIG": str(self.config)}
+        environment = {**os.environ, **self.environment, "GW_CONFIG": str(self.config)}
         self.process = subprocess.Popen(command, stdout=subprocess.PIPE, env=environment)
         try:
-            host, port = self.event("started")["listen"].rsplit(":", 1)
+            started = self.event("started")
+            host, port = started["listen"].rsplit(":", 1)
             self.where = (host, int(port))
+            host, _, port = started["operators"].rpartition(":")
+            self.operators = (host, int(port or 0))
             self.client = socket.create_connection(self.where)
             self.parser = ResponseParser()
             yield self
@@ -143,6 +147,18 @@
         self.send(tariff, expires, "POST" if body else "GET", body)
         return self.hear()
 
+    def call(self, method: str, path: str, where: tuple[str, int] | None = None) -> Response | None:
+        """One call of the operators."""
+        with socket.create_connection(where or self.operators) as sock:
+            sock.sendall(writing.request(method, path, [("Host", "operators")]))
+            response: Response | None = next_of(sock, ResponseParser())
+            return response
+
+    def figures(self) -> dict[str, int]:
+        response = self.call("GET", "/stats")
+        lines = response.body.decode().split() if response is not None else []
+        return {name: int(value) for name, _, value in (line.partition("=") for line in lines)}
+
     def event(self, name: str) -> dict:
         """The next such event of the log."""
         assert self.process.stdout is not None
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -59,6 +59,7 @@
 REST_HELD = 15_000_000      # how long connections are freed for it, until that is tried anew
 PEERS = 6                   # other sidecars that are told of it, and
 TELL_EVERY = 1_000_000      # how often at most
+MOST_BY_HAND = 1000          # servers out by hand at once
 VERSION = 1                 # of the messages: this, then how often each length was used, how often in vain
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
@@ -336,6 +337,8 @@
         self.salt: list[int] = []
         self.ready: list[int] = []
         self.near: list[int] = []  # those of them that this sidecar uses
+        self.by_hand: set[int] = set()  # ids that operators have taken out, whatever the list says
+        self.returned: dict[int, int] = {}  # when those came back that may still be cold
         self.settling: Settling | None = None
         self.quota = 0.0
         self.learn(settings)
@@ -417,8 +420,44 @@
         if changed:
             for at in [at for at in self.index.values() if self.phase[at] == Phase.GONE]:
                 self.forget(at)
-            self.ready = [at for at, phase in enumerate(self.phase) if phase == Phase.READY]
-            self.choose_near(True)
+            self.choose_ready()
+
+    def choose_ready(self) -> None:
+        self.ready = [at for at, phase in enumerate(self.phase)
+                      if phase == Phase.READY and self.ids[at] not in self.by_hand]
+        self.choose_near(True)
+
+    def hand(self, now: int, server: int, out: bool) -> bool:
+        """Take a server out by hand, or let it serve again; False for an id that nobody has.
+
+        Guards a server that operators work on: no list, breaker or trial brings it back.  It was restarted
+        meanwhile, for all that is known, so it returns cold.
+        """
+        at = self.index.get(server, -1)
+        known = server in self.by_hand
+        if not known and (at < 0 or self.phase[at] == Phase.GONE):
+            return False
+        if out and len(self.by_hand) >= MOST_BY_HAND and not known:
+            return False
+        if out:
+            self.by_hand.add(server)
+        elif known:
+            self.by_hand.remove(server)
+            longest = max(self.settings.cold_for, self.settings.fall_window)
+            self.returned = {one: then for one, then in self.returned.items() if now - then < longest}
+            self.returned[server] = now
+            if at >= 0:
+                self.begin(now, at, now)
+        self.choose_ready()
+        if out != known:
+            name = self.names[at] if at >= 0 else str(server)
+            self.outlet.log(f"server {name} {'out' if out else 'back'} by hand")
+        return True
+
+    def standing(self) -> tuple[int, int]:
+        """How many servers are listed, and how many of these are avoided, by hand or by their breakers."""
+        listed = [at for at in self.index.values() if self.phase[at] != Phase.GONE]
+        return len(listed), sum(self.state[at] != CLOSED or self.ids[at] in self.by_hand for at in listed)
 
     def choose_near(self, changed: bool = False) -> None:
         """The servers that this sidecar uses: all, or, where connections cost, the first of its own order.
@@ -544,19 +583,22 @@
         if entry.came_up > self.told_up[at]:
             # Guards a fresh process against the verdicts on the one before it.
             self.told_up[at] = entry.came_up
-            self.came_up[at] = self.started(now, entry)
-            self.state[at] = CLOSED
-            self.fails[at] = self.trials[at] = 0
-            self.generation[at] += 1
-            self.cooldown[at] = 0
-            self.ill[at] = 0.0
-            self.lag[at] = 1.0
-            self.tokens_at[at] = now
+            self.begin(now, at, self.started(now, entry))
         self.zone[at] = entry.zone
         self.cell[at] = entry.cell
         self.phase[at] = entry.phase
         self.weigh(at, entry)
 
+    def begin(self, now: int, at: int, came_up: int) -> None:
+        """A new process of a known server."""
+        self.came_up[at] = came_up
+        self.state[at] = CLOSED
+        self.fails[at] = self.trials[at] = self.cooldown[at] = 0
+        self.generation[at] += 1
+        self.ill[at] = 0.0
+        self.lag[at] = 1.0
+        self.tokens_at[at] = now
+
     def weigh(self, at: int, entry: Entry) -> None:
         """Take a listed scale for a size, or, where it falls with what is held, the largest of its kind.
 
@@ -586,7 +628,8 @@
         Guards against clocks that differ: what is listed is there, so a start in the future was one by now,
         and a server must not count as cold until then.  It is no earlier than the true one: no budget grows.
         """
-        return max(1, min(now, entry.came_up)) if entry.came_up else 0
+        back = self.returned.get(entry.server, 0)
+        return max(1, back, min(now, entry.came_up)) if entry.came_up else back
 
     def woke(self, now: int) -> None:
         """Ask for the list, unless it is being followed."""
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -17,7 +17,7 @@
 from . import answers, arrival, clock
 from .dispatch import Dispatcher
 from .exchange import Exchange
-from .submissions import asked
+from .submissions import TARIFF, asked
 
 # Taken off a client's patience for the way to and fro and for threads that wait their turn.
 ALLOWANCE = 25_000
@@ -54,6 +54,8 @@
         self.served = 0
         self.chunked = False
         self.last = False
+        self.group = ""             # the class of the submission under way, and its answer's status
+        self.status = 0
         self.inside = False         # at the entrance, which others wait for
         self.answered = threading.Event()
         self.gate = threading.Lock()
@@ -153,8 +155,9 @@
         if self.inside:
             return False
         parser.ring.drop(size)
+        self.group = name
         self.keep = not self.last
-        self.answer(answers.deferred(dispatcher.entrance.intake.back(tariff)), not dispatcher.draining)
+        self.answer(answers.deferred(dispatcher.entrance.intake.back(tariff)), not dispatcher.leaving())
         return True
 
     def resume(self) -> None:
@@ -187,6 +190,7 @@
             dispatcher.failed(exchange)
             raise
         if exchange.left:
+            self.group = ""
             self.enter(CLOSING)
         else:
             self.answered.wait()  # by the timers, if patience has ended
@@ -196,9 +200,12 @@
         dispatcher = self.owner.dispatcher
         self.keep = request.keeps() and not self.last
         if request.target == "/up" and request.method in ("GET", "HEAD"):
-            self.answer(answers.READY if dispatcher.balancer.ready else answers.NOT_READY, True)
+            ready = dispatcher.balancer.ready and not dispatcher.leaving()
+            self.answer(answers.READY if ready else answers.NOT_READY, not dispatcher.leaving())
             return None
         config, terms = dispatcher.serving
+        name = request.header(TARIFF)
+        self.group = name if name in config.tariffs else ""
         try:
             what = asked(request, config.tariffs, config.settings.tariffs)
         except Malformed as trouble:
@@ -208,16 +215,19 @@
             # All connections that the limits allow are in use: nothing went out, so trying again is harmless.
             # The connection stays: a new one would cost more than this answer.
             self.owner.refused["no room"] += 1
-            self.answer(answers.deferred(dispatcher.balancer.bound_retry_in(terms[what.tariff])), True)
+            self.answer(answers.deferred(dispatcher.balancer.bound_retry_in(terms[what.tariff])),
+                        not dispatcher.leaving())
             return None
         if not self.inside:
             usual = terms[what.tariff].usual
             self.inside = dispatcher.entrance.enter(arrived, arrived + what.patience, what.tariff, what.retry,
                                                     usual)
             if not self.inside:
-                self.answer(answers.deferred(dispatcher.entrance.intake.back(what.tariff)), True)
+                self.answer(answers.deferred(dispatcher.entrance.intake.back(what.tariff)),
+                            not dispatcher.leaving())
                 return None
         if clock.now() - arrived > LATE and self.gone():
+            self.group = ""
             self.enter(CLOSING)  # guards a crowded core: nobody waits for this one any more
             return None
         # The way out will take about as long as a thread now waits for its turn: guards against patience that
@@ -246,12 +256,14 @@
 
     def answer(self, answer: answers.Answer, keep: bool) -> None:
         self.keep = keep and self.keep
+        self.status = answer.status
         self.write(writing.response(*answer, self.keep))
         self.finish()
 
     def begin(self, answer: answers.Answer, length: int, keep: bool) -> None:
         """The head of an answer that is passed on as it comes; `more` has its body, or `cut` ends it."""
         self.keep = keep and self.keep
+        self.status = answer.status
         self.chunked = length == writing.CHUNKED
         self.write(writing.response(*answer, self.keep, length))
 
@@ -265,6 +277,7 @@
     def cut(self) -> None:
         """The rest of the answer will not come: the client can tell, as it lacks its end."""
         self.keep = False
+        self.status = 502
         self.finish()
 
     def write(self, data: bytes) -> bool:
@@ -289,6 +302,9 @@
 
     def finish(self) -> None:
         self.outgoing.rest()
+        if self.group:
+            self.owner.dispatcher.figures.ended(self.group, self.status)
+            self.group = ""
         if not self.keep:
             self.enter(CLOSING)
             self.shut(socket.SHUT_WR)
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -21,6 +21,7 @@
 IDLE_LONG = 15_000_000      # between requests, while there is room
 IDLE_SHORT = 300_000        # and while more than a third of it is taken
 IDLE_ONCE = 60_000          # then, on a connection that has been used only once
+FIRST_BYTES = 300_000       # for the first request on a new connection, while clients are sent away
 LINGER = 1_000_000          # for the client to close after we did
 # At the bound, from when a connection makes room for a new one: its first bytes are overdue, or it rests.
 CROWDED = {FRESH: 50_000, CLOSING: 100_000, IDLE: 100_000, PARTIAL: 1_000_000}
@@ -130,8 +131,18 @@
         for *_, state, client in sorted(overdue)[:max(0, len(self.open) - self.most) + EVICTED]:
             client.expire(state)
 
+    def under_way(self) -> int:
+        """How many submissions are taken and not ended."""
+        return sum(1 for client in list(self.open) if client.group)
+
+    def empty(self, out: bool) -> None:
+        """Send clients away, or take them again."""
+        if out != self.dispatcher.emptied:
+            self.dispatcher.emptied = out
+            self.dispatcher.events.event("emptied" if out else "back_to_work", clients=len(self.open))
+
     def close_idle(self) -> None:
-        before = clock.now() - CROWDED[FRESH]
+        before = clock.now() - FIRST_BYTES
         for client in list(self.open):
             if client.state == IDLE or client.state == FRESH and client.since <= before:
                 client.expire(client.state)
@@ -139,7 +150,8 @@
     def woke(self, now: int) -> None:
         """Look for connections whose time is up."""
         self.dispatcher.after.append(self.sweep)
-        self.dispatcher.wake(now + (SWEEP if self.scarce() else SWEEP_AT_EASE), self)
+        soon = self.scarce() or self.dispatcher.emptied
+        self.dispatcher.wake(now + (SWEEP if soon else SWEEP_AT_EASE), self)
 
     def scarce(self) -> bool:
         return len(self.open) > self.most // 3
@@ -147,6 +159,8 @@
     def sweep(self) -> None:
         # Guards clients whose own connections are used up by those among them that ask once and stay: what
         # was used once has shown no further use, and goes first.
+        if self.dispatcher.emptied:
+            self.close_idle()
         now = clock.now()
         scarce = self.scarce()
         idle = IDLE_SHORT if scarce else IDLE_LONG
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -37,6 +38,7 @@
     idle: int
     dial: int
     idle_keys: tuple[str, ...]
+    admin: Address | None = None
 
     @property
     def from_clients(self) -> int:
@@ -58,6 +60,12 @@
         raise BadConfig(f"{path}: {trouble}".replace("\n", " ")) from trouble
 
 
+def second(told: dict[str, Any]) -> Address | None:
+    """The operators' address.  The environment is the process's own: two that share a file differ in it."""
+    text = os.environ.get("GW_ADMIN_ADDR") or told.get("admin_addr")
+    return address(str(text)) if text else None
+
+
 def config(told: dict[str, Any]) -> Config:
     info = told["settings"]
     check(info)
@@ -89,4 +97,5 @@
         idle=int(allowed.get("connIdleS", 30.0) * 1e6),
         dial=int(allowed.get("dialTimeoutS", 1.0) * 1e6),
         idle_keys=tuple(without_effect(info)),
+        admin=second(told),
     )
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 
-from ..discovery.roster import Update
+from ..admin.figures import Figures
+from ..discovery.roster import Update, stable
 from ..http1 import writing
 from ..http1.messages import Response
 from ..http1.parsing import ResponseParser
@@ -69,7 +70,10 @@
         self.after: list[Callable[[], None]] = []
         self.exchanges: dict[int, Exchange] = {}
         self.taken = 0
-        self.draining = False
+        self.draining = False       # since SIGTERM
+        self.emptied = False        # by an operator, until it is called back
+        self.figures = Figures()
+        self.loaded = self.invalid = 0
         self.pool = Pool(self, config, log)
         self.traces: set[str] = set()
         self.expiring: deque[tuple[int, str]] = deque()
@@ -254,7 +258,7 @@
         passed: list[bool] = []
         self.decide(call)
         if passed:
-            exchange.client.begin(answers.succeeded(head), length, not self.draining)
+            exchange.client.begin(answers.succeeded(head), length, not self.leaving())
         return bool(passed)
 
     def failed(self, exchange: Exchange) -> None:
@@ -286,13 +290,35 @@
         if must(not exchange.answered, "second final answer"):
             exchange.answered = True
             client = exchange.client
-            self.after.append(lambda: client.answer(answer, not self.draining))
+            self.after.append(lambda: client.answer(answer, not self.leaving()))
 
     def forget(self, exchange: Exchange) -> None:
         if exchange.over():
             self.exchanges.pop(exchange.number, None)
             exchange.hops.clear()  # they know it, and would keep each other until the next collection
 
+    def leaving(self) -> bool:
+        """Whether clients are sent away: every answer ends its connection."""
+        return self.draining or self.emptied
+
+    def by_hand(self, name: str, out: bool) -> bool:
+        """Take a server out, or let it serve again; nothing more goes to it from the return on."""
+        def call(now: int) -> None:
+            if self.balancer.hand(now, stable(name), out):
+                self.pool.by_hand(stable(name), out)
+                done.append(True)
+        done: list[bool] = []
+        self.decide(call)
+        return bool(done)
+
+    def standing(self) -> tuple[int, int]:
+        """How many servers are listed, and how many of them avoided."""
+        def call(now: int) -> None:
+            told.append(self.balancer.standing())
+        told: list[tuple[int, int]] = []
+        self.decide(call)
+        return told[0]
+
     def listed(self, kind: Listing, update: Update) -> None:
         def call(now: int) -> None:
             if kind != Listing.FAILED:
@@ -318,6 +344,9 @@
     def forfeit(self, submission: int) -> None:
         self.answer(self.exchanges[submission], answers.FORFEITED)
 
+    def sent(self) -> None:
+        self.figures.count("sends")
+
     def cancel(self, submission: int, hop: int) -> None:
         if self.exchanges[submission].passing:
             return  # guards an answer that the client has part of: it ends by itself or with its patience
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -42,6 +42,9 @@
     def started(self, hop: Hop) -> None:
         """More of a hop's answer has come, but not all of it."""
 
+    def sent(self) -> None:
+        """A hop has been written whole."""
+
     def pass_on(self, hop: Hop, parser: ResponseParser) -> bool:
         """Whether a hop's answer becomes the final one before it is whole; its head is written then."""
 
--- /dev/null
+++ b/pumicepath/sidecar/operators.py
@@ -0,0 +1,136 @@
+"""The second address: operators' calls, one to a connection, by threads of their own."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+from contextlib import suppress
+
+from ..admin.calls import Call, understood
+from ..discovery.roster import Address
+from ..http1 import writing
+from ..http1.messages import Malformed, Request
+from ..http1.parsing import RequestParser
+from . import answers, clock
+from .clients import Clients
+from .dispatch import Dispatcher
+from .servers import start
+
+MOST = 16                   # calls at once; one more takes the place of the oldest
+LONGEST = 5_000_000         # that a call may take to come whole
+LONGEST_WAIT = struct.pack("ll", 5, 0)
+MOST_BODY = 4096
+DONE = answers.plain(200, "done")
+SERVING = answers.plain(200, "serving")
+NO_SERVER = answers.plain(404, "no such server")
+
+
+class Operators:
+    """The listener for operators and the calls under way."""
+
+    def __init__(self, where: Address, dispatcher: Dispatcher, clients: Clients) -> None:
+        self.dispatcher = dispatcher
+        self.clients = clients
+        self.gate = threading.Lock()
+        self.open: dict[socket.socket, None] = {}
+        self.ready = 1
+        family = socket.AF_INET6 if ":" in where.host else socket.AF_INET
+        self.listener = socket.socket(family, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(where)
+        self.listener.listen(64)
+        host, port = self.listener.getsockname()[:2]
+        self.where = f"{host}:{port}"
+
+    def run(self) -> None:
+        """Take a call, see it through, and take the next; another thread waits for the next meanwhile."""
+        while True:
+            try:
+                sock = self.listener.accept()[0]
+            except OSError as trouble:
+                if self.listener.fileno() < 0:
+                    return
+                self.dispatcher.events.event("accept_failed", text=str(trouble), whose="operators")
+                threading.Event().wait(0.05)  # out of descriptors: others must end first
+                continue
+            with self.gate:
+                self.open[sock] = None
+                oldest = next(iter(self.open)) if len(self.open) > MOST else None
+                self.ready -= 1
+                more = self.ready < 1
+                self.ready += more
+                if oldest is not None:
+                    # Guards calls against callers that connect and finish none.
+                    with suppress(OSError):
+                        oldest.shutdown(socket.SHUT_RDWR)
+            if more:
+                try:
+                    start(self.run)
+                except RuntimeError:  # no thread: this one takes the next call when it is done with this
+                    with self.gate:
+                        self.ready -= 1
+            try:
+                self.call(sock)
+            except OSError:
+                pass  # the caller has gone
+            except Exception as trouble:  # nothing said here may end the sidecar
+                self.dispatcher.events.event("fault", text=f"{type(trouble).__name__}: {trouble}")
+            finally:
+                with self.gate:
+                    self.open.pop(sock, None)
+                sock.close()
+            with self.gate:
+                if self.ready >= 2:
+                    return
+                self.ready += 1
+
+    def call(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, LONGEST_WAIT)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, LONGEST_WAIT)
+        until = clock.now() + LONGEST
+        parser = RequestParser(MOST_BODY)
+        told = False
+        try:
+            while (request := parser.next()) is None:
+                if not told and parser.awaited():
+                    told = True
+                    sock.sendall(writing.CONTINUE)
+                data = sock.recv(4096)
+                if not data or clock.now() > until:
+                    return
+                parser.feed(data)
+            answer = self.answered(request)
+        except Malformed as trouble:
+            request = None
+            answer = answers.plain(trouble.status, str(trouble))
+        if request is not None and request.method == "HEAD":
+            head = writing.response(answer.status, answer.headers, b"", False, len(answer.body))
+            sock.sendall(head)
+        else:
+            sock.sendall(writing.response(*answer, False))
+        sock.shutdown(socket.SHUT_WR)
+        while request is None and clock.now() < until and sock.recv(4096):
+            pass  # guards the answer: closed with bytes unread, it would be lost on its way
+
+    def answered(self, request: Request) -> answers.Answer:
+        asked = understood(request)
+        dispatcher = self.dispatcher
+        match asked.call:
+            case Call.CHECK:
+                return SERVING
+            case Call.STATS:
+                return answers.plain(200, self.figures().rstrip("\n"))
+            case Call.OUT | Call.IN:
+                if not dispatcher.by_hand(asked.server, asked.call == Call.OUT):
+                    return NO_SERVER
+            case Call.FAIL | Call.OK:
+                self.clients.empty(asked.call == Call.FAIL)
+        return DONE
+
+    def figures(self) -> str:
+        dispatcher = self.dispatcher
+        listed, avoided = dispatcher.standing()
+        return dispatcher.figures.written(dispatcher.serving[0].tariffs, {
+            "current": self.clients.under_way(), "cluster_size": listed, "cluster_unhealthy": avoided,
+            "conf_loaded": dispatcher.loaded, "conf_invalid": dispatcher.invalid})
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -13,7 +13,7 @@
 from time import monotonic, sleep
 
 from .. import compiled, invariants
-from ..discovery.roster import Roster
+from ..discovery.roster import Address, Roster
 from ..discovery.watch import Watch
 from ..interface import Listing
 from . import clock
@@ -22,6 +22,7 @@
 from .config import BadConfig, Config
 from .dispatch import Dispatcher
 from .log import Log
+from .operators import Operators
 from .servers import start
 from .watching import Watcher
 
@@ -30,7 +31,7 @@
 ONE_HEAP = {"M_ARENA_MAX": (-8, 1), "M_MMAP_THRESHOLD": (-3, 32 << 20), "M_TRIM_THRESHOLD": (-1, 32 << 20)}
 SWITCH = 0.02
 COMING = 0.5                # how long new connections may still come after SIGTERM, with room to spare
-FIXED = ("name", "listen", "limits")  # keys of the file that are read at the start only
+FIXED = ("name", "listen", "limits", "admin")  # keys of the file that are read at the start only
 LAST = 0.5                  # past the longest patience, when to end whatever is left
 
 
@@ -55,8 +56,11 @@
     try:
         clients = Clients(dispatcher)
     except OSError as trouble:
-        where = f"{config.listen.host}:{config.listen.port}"
-        raise BadConfig(f"cannot listen on {where}: {trouble.strerror}") from trouble
+        raise BadConfig(f"cannot listen on {named(config.listen)}: {trouble.strerror}") from trouble
+    try:
+        operators = Operators(config.admin, dispatcher, clients) if config.admin else None
+    except OSError as trouble:
+        raise BadConfig(f"cannot listen on {named(config.admin)}: {trouble.strerror}") from trouble
     start(log.run)
     start(dispatcher.run_timers)
     start(watcher.run)
@@ -71,15 +75,21 @@
     gc.freeze()
     gc.set_threshold(10_000)  # what ends with a submission is freed with it; little is left to collect
     host, port = clients.listener.getsockname()[:2]
-    log.event("started", listen=f"{host}:{port}", servers=len(known.entries),
-              from_clients=config.from_clients, to_servers=config.to_servers,
+    log.event("started", listen=f"{host}:{port}", operators=operators.where if operators else "",
+              servers=len(known.entries), from_clients=config.from_clients, to_servers=config.to_servers,
               checks="asserted" if __debug__ else "counted", form=compiled.FORM)
     start(clients.run)
+    if operators is not None:
+        start(operators.run)
     while signal.sigwait(signals) == signal.SIGHUP:
         config = reload(config, path, dispatcher, watcher, log)
     drain(dispatcher, clients, log)
 
 
+def named(where: Address | None) -> str:
+    return f"{where.host}:{where.port}" if where else ""
+
+
 def keep_one_heap() -> None:
     """Guards the memory limit: with a heap for each few threads, each keeps what its largest bodies took."""
     with suppress(OSError, AttributeError):  # another C library has other ways
@@ -93,11 +103,12 @@
     try:
         new = settings.read(path)
     except BadConfig as trouble:
+        dispatcher.invalid += 1
         log.event("reload_failed", text=str(trouble))
         return config
     waiting = [key for key in FIXED if fixed(new, key) != fixed(config, key)]
-    new = replace(new, name=config.name, listen=config.listen, connections=config.connections,
-                  held=config.held, seed=config.seed)
+    new = replace(new, name=config.name, listen=config.listen, admin=config.admin, seed=config.seed,
+                  connections=config.connections, held=config.held)
     before, after = config.settings, localised(new, watcher.watch.roster).settings
     changed = after != before or (new.zones, new.idle, new.dial) != (
         config.zones, config.idle, config.dial)
@@ -106,6 +117,7 @@
     if changed or new.discovery != config.discovery:
         # Before long the old waits, and what the old discovery told, count for nothing.
         watcher.move(new.discovery, 2 * min(before.ask_every, after.ask_every))
+    dispatcher.loaded += 1
     log.event("reloaded", discovery=f"{new.discovery.host}:{new.discovery.port}", settings=changed,
               tariffs=list(new.tariffs), without_effect=list(new.idle_keys), needs_restart=waiting)
     return replace(new, settings=after)
@@ -132,6 +144,7 @@
         self.told = 0
 
     def woke(self, now: int) -> None:
+        self.dispatcher.figures.sum()
         count = sum(invariants.broken.values())
         if count > self.told:
             self.told = count
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -107,12 +107,14 @@
 
     def write(self, hop: Hop) -> None:
         """Raises OSError if the last byte is not written."""
-        if self.dead or hop.ended or self.sock is None:
+        if self.dead or hop.ended or self.sock is None or self.pool.origin(self.server) != self.origin:
+            # Guards a server that was taken out, or drains, since the hop was chosen: dialling takes time.
             raise ConnectionAbortedError
         self.outgoing.put(request(hop))
         while len(self.outgoing):
             self.outgoing.drop(self.sock.send(self.outgoing.data()))
         self.outgoing.rest()
+        self.pool.owner.sent()
 
     def read(self, hop: Hop) -> tuple[Outcome, Response | None, bool]:
         """Read the answer; what is too large to be held until it is whole is passed on as it comes."""
@@ -229,6 +231,7 @@
         self.idle: dict[int, list[Link]] = {}
         self.open = 0
         self.origins: dict[int, Origin] = {}
+        self.barred: set[int] = set()  # servers out by hand
         self.spoilt: Counter[str] = Counter()
         self.rests = Rests()
         self.held = Budget(config.held)
@@ -244,6 +247,18 @@
         for link in self.idle.pop(server, []):
             link.kill()
 
+    def origin(self, server: int) -> Origin | None:
+        """Where hops to a server go now, from any thread."""
+        return None if server in self.barred else self.origins.get(server)
+
+    def by_hand(self, server: int, out: bool) -> None:
+        """Nothing is written to a server that is out, whatever the list says of it."""
+        if out:
+            self.barred.add(server)
+            self.free(server)
+        else:
+            self.barred.discard(server)
+
     def listed(self, update: Update) -> None:
         """Forget servers that want nothing new, and the connections to processes that have ended."""
         origins = {} if update.whole else dict(self.origins)
@@ -270,13 +285,13 @@
             link.kill()
         if self.open >= self.most:
             self.drop_oldest()
-        fresh = Link(self, hop.server, self.origins.get(hop.server) if self.open < self.most else None)
+        fresh = Link(self, hop.server, self.origin(hop.server) if self.open < self.most else None)
         self.open += 1
         fresh.hop = hop
         return fresh
 
     def put(self, now: int, link: Link) -> None:
-        if link.dead or self.origins.get(link.server) != link.origin:
+        if link.dead or self.origin(link.server) != link.origin:
             link.kill()
         else:
             link.idle_since = now
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -361,6 +361,7 @@
     def __init__(self) -> None:
         self.told: list = []
         self.some = threading.Semaphore(0)
+        self.emptied = False
         self.events = self.pool = self
         self.addresses: dict = {}
 
