--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -60,7 +60,8 @@
         met = bench.sent[before:]
         standing = bench.balancer.standing()
         bench.lines = [line for line in bench.lines if "hop to" not in line]
-        bench.note(f"{what}: {[met.count(1), met.count(2)]} hops, {standing[0]} listed, {standing[1]} avoided")
+        hops = [met.count(server) for server in (1, 2)]
+        bench.note(f"{what}: {hops} hops, {standing[0]} listed, {standing[1]} avoided")
 
     def call(server: int, out: bool) -> None:
         bench.note(f"{server} {'out' if out else 'back'}: {'yes' if hand(bench.now, server, out) else 'no'}")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -341,6 +341,8 @@
         class Dispatcher:
             events = property(lambda self: self)
             pool = Clients
+            figures = events
+            def sum(self): pass
             def event(self, event, **figures): print(event, figures)
             def wake(self, at, whom): print("again at", at)
         watchman = Watchman(Dispatcher(), Clients())
