--- a/pumicepath/discovery/roster.py
+++ b/pumicepath/discovery/roster.py
@@ -57,6 +57,7 @@
         self.zones = {name: next(self.numbers) for name in zones}
         self.since_unix_ms = since_unix_ms
         self.starts: dict[str, tuple[int, int]] = {}
+        self.lines: dict[str, Any] = {}  # as they came
 
     def read(self, data: Any) -> Update:
         try:
@@ -72,8 +73,14 @@
         left = set(self.starts) - named if whole else {str(line["host"]) for line in lines} - named
         for name in left:
             self.starts.pop(name, None)
+            self.lines.pop(name, None)
+        self.lines.update((str(line["host"]), line) for line in lines if str(line["host"]) in named)
         return Update(version, whole, entries, addresses)
 
+    def whole(self, version: int) -> dict[str, Any]:
+        """All that is known, in discovery's form."""
+        return {"seq": version, "whole": True, "hosts": list(self.lines.values())}
+
     def zone(self, name: str) -> int:
         """Its number, which it keeps whatever a later configuration names: hops out know it by that."""
         known = self.zones.get(name)
--- a/pumicepath/lab/loopback/scripted.py
+++ b/pumicepath/lab/loopback/scripted.py
@@ -109,9 +109,7 @@
 
     @contextmanager
     def running(self) -> Iterator[Deployment]:
-        command = [sys.executable, "-m", "pumicepath", "serve"]
-        environment = {**os.environ, **self.environment, "GW_CONFIG": str(self.config)}
-        self.process = subprocess.Popen(command, stdout=subprocess.PIPE, env=environment)
+        self.process = self.begun()
         try:
             started = self.event("started")
             host, port = started["listen"].rsplit(":", 1)
@@ -125,6 +123,11 @@
             self.process.kill()
             self.process.wait()
 
+    def begun(self) -> subprocess.Popen:
+        command = [sys.executable, "-m", "pumicepath", "serve"]
+        environment = {**os.environ, **self.environment, "GW_CONFIG": str(self.config)}
+        return subprocess.Popen(command, stdout=subprocess.PIPE, env=environment)
+
     def send(self, tariff: str, expires: int = 2000, method: str = "POST", body: str = "",
              sock: socket.socket | None = None) -> None:
         self.number += 1
@@ -159,8 +162,9 @@
         lines = response.body.decode().split() if response is not None else []
         return {name: int(value) for name, _, value in (line.partition("=") for line in lines)}
 
-    def event(self, name: str) -> dict:
+    def event(self, name: str, process: subprocess.Popen | None = None) -> dict:
         """The next such event of the log."""
-        assert self.process.stdout is not None
-        events: Iterator[dict[str, Any]] = map(json.loads, self.process.stdout)
+        log = (process or self.process).stdout
+        assert log is not None
+        events: Iterator[dict[str, Any]] = map(json.loads, log)
         return next(event for event in events if event["event"] == name)
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -427,15 +427,15 @@
                       if phase == Phase.READY and self.ids[at] not in self.by_hand]
         self.choose_near(True)
 
-    def hand(self, now: int, server: int, out: bool) -> bool:
+    def hand(self, now: int, server: int, out: bool, certain: bool = False) -> bool:
         """Take a server out by hand, or let it serve again; False for an id that nobody has.
 
         Guards a server that operators work on: no list, breaker or trial brings it back.  It was restarted
-        meanwhile, for all that is known, so it returns cold.
+        meanwhile, for all that is known, so it returns cold.  `certain`: another process has found the id.
         """
         at = self.index.get(server, -1)
         known = server in self.by_hand
-        if not known and (at < 0 or self.phase[at] == Phase.GONE):
+        if not known and not certain and (at < 0 or self.phase[at] == Phase.GONE):
             return False
         if out and len(self.by_hand) >= MOST_BY_HAND and not known:
             return False
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -9,6 +9,7 @@
 
 from . import clock
 from .client import BUSY, CLOSING, FRESH, IDLE, LAST, PARTIAL, Client
+from .config import Config
 from .dispatch import Dispatcher
 from .servers import start
 
@@ -28,17 +29,30 @@
 LOOK = 5_000                # between two looks for such connections
 EVICTED = 8                 # at a time more than needed, since many come together
 SPARE = 24
+LISTENING_S = 0.2           # between two looks whether connections are still to be accepted
 READY_THREADS = 64          # that wait for the next connection at most
 STEP_S = 0.005              # between two looks for room
 
 
+def listening(config: Config) -> socket.socket:
+    """A socket of this process's own, beside which another may listen where the process can be replaced."""
+    family = socket.AF_INET6 if ":" in config.listen.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if config.admin:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.bind(config.listen)
+    listener.listen(1024)
+    return listener
+
+
 class Clients:
     """The listener and all connections it has accepted."""
 
-    def __init__(self, dispatcher: Dispatcher) -> None:
+    def __init__(self, dispatcher: Dispatcher, listener: socket.socket | None = None) -> None:
         config = dispatcher.serving[0]
         self.dispatcher = dispatcher
-        self.most = config.from_clients
+        self.all = self.most = config.from_clients
         self.open: dict[Client, None] = {}
         self.fresh: dict[Client, None] = {}  # those that have sent nothing yet, the oldest first
         self.refused: Counter[str] = Counter()
@@ -46,11 +60,13 @@
         self.ready = 1
         self.looked = 0
         self.accepting = threading.Lock()
-        family = socket.AF_INET6 if ":" in config.listen.host else socket.AF_INET
-        self.listener = socket.socket(family, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(config.listen)
-        self.listener.listen(1024)
+        self.taking = threading.Event()
+        self.taking.set()
+        self.listener = listener or listening(config)
+        if config.admin:
+            # The process that will take this one's place accepts from the same queue: each looks now and
+            # then whether it is still to.  They share the socket, and so whether it blocks.
+            self.listener.settimeout(LISTENING_S)
 
     def run(self) -> None:
         """Accept a connection, see it through, and accept the next; enough threads stand ready to accept.
@@ -96,8 +112,11 @@
                 while len(self.open) >= self.most + SPARE:
                     self.make_room()
                     time.sleep(STEP_S)  # new ones wait in the listener's queue
+                self.taking.wait()
                 try:
                     return self.listener.accept()[0]
+                except TimeoutError:
+                    continue
                 except OSError as trouble:
                     if self.listener.fileno() < 0:
                         return None
@@ -131,6 +150,17 @@
         for *_, state, client in sorted(overdue)[:max(0, len(self.open) - self.most) + EVICTED]:
             client.expire(state)
 
+    def pause(self, out: bool) -> None:
+        """Leave new connections to another process, or take them again."""
+        if out:
+            self.taking.clear()
+        else:
+            self.taking.set()
+
+    def share(self, part: int, parts: int) -> None:
+        """Hold only so much of the connections: guards the limits while two processes share them."""
+        self.most = self.all * part // parts
+
     def under_way(self) -> int:
         """How many submissions are taken and not ended."""
         return sum(1 for client in list(self.open) if client.group)
--- a/pumicepath/sidecar/clock.py
+++ b/pumicepath/sidecar/clock.py
@@ -11,6 +11,15 @@
     return time.monotonic_ns() // 1000 - ORIGIN
 
 
+def to_monotonic(then: int) -> int:
+    """A time as another process of this machine knows it."""
+    return then + ORIGIN
+
+
+def since_monotonic(then: int) -> int:
+    return then - ORIGIN
+
+
 def since_unix_ms(then: int) -> int:
     """A time of the machines' common clock by this one."""
     return max(1, now() - (time.time_ns() // 1000 - then * 1000))
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -301,16 +301,33 @@
         """Whether clients are sent away: every answer ends its connection."""
         return self.draining or self.emptied
 
-    def by_hand(self, name: str, out: bool) -> bool:
+    def by_hand(self, name: str, out: bool, certain: bool = False) -> bool:
         """Take a server out, or let it serve again; nothing more goes to it from the return on."""
         def call(now: int) -> None:
-            if self.balancer.hand(now, stable(name), out):
+            if self.balancer.hand(now, stable(name), out, certain):
                 self.pool.by_hand(stable(name), out)
                 done.append(True)
         done: list[bool] = []
         self.decide(call)
         return bool(done)
 
+    def handed(self) -> tuple[set[int], dict[int, int]]:
+        """The servers out by hand, and since when those are back that may be cold."""
+        def call(now: int) -> None:
+            told.append((set(self.balancer.by_hand), dict(self.balancer.returned)))
+        told: list[tuple[set[int], dict[int, int]]] = []
+        self.decide(call)
+        return told[0]
+
+    def inherit(self, by_hand: set[int], returned: dict[int, int]) -> None:
+        """Before the first list: what the process before this one was told by hand."""
+        self.balancer.by_hand, self.balancer.returned = set(by_hand), returned
+        self.pool.barred = set(by_hand)
+
+    def share(self, part: int, parts: int) -> None:
+        """Hold only so many connections to servers: guards the limits while two processes share them."""
+        self.decide(lambda now: self.pool.share(part, parts))
+
     def standing(self) -> tuple[int, int]:
         """How many servers are listed, and how many of them avoided."""
         def call(now: int) -> None:
--- a/pumicepath/sidecar/operators.py
+++ b/pumicepath/sidecar/operators.py
@@ -16,6 +16,7 @@
 from .clients import Clients
 from .dispatch import Dispatcher
 from .servers import start
+from .succession import Succession
 
 MOST = 16                   # calls at once; one more takes the place of the oldest
 LONGEST = 5_000_000         # that a call may take to come whole
@@ -29,9 +30,11 @@
 class Operators:
     """The listener for operators and the calls under way."""
 
-    def __init__(self, where: Address, dispatcher: Dispatcher, clients: Clients) -> None:
+    def __init__(self, where: Address, dispatcher: Dispatcher, clients: Clients,
+                 succession: Succession) -> None:
         self.dispatcher = dispatcher
         self.clients = clients
+        self.succession = succession
         self.gate = threading.Lock()
         self.open: dict[socket.socket, None] = {}
         self.ready = 1
@@ -122,10 +125,13 @@
             case Call.STATS:
                 return answers.plain(200, self.figures().rstrip("\n"))
             case Call.OUT | Call.IN:
-                if not dispatcher.by_hand(asked.server, asked.call == Call.OUT):
+                out = asked.call == Call.OUT
+                if not dispatcher.by_hand(asked.server, out):
                     return NO_SERVER
+                self.succession.agree({"server": asked.server, "out": out})
             case Call.FAIL | Call.OK:
                 self.clients.empty(asked.call == Call.FAIL)
+                self.succession.agree({"emptied": asked.call == Call.FAIL})
         return DONE
 
     def figures(self) -> str:
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -13,7 +13,7 @@
 from time import monotonic, sleep
 
 from .. import compiled, invariants
-from ..discovery.roster import Address, Roster
+from ..discovery.roster import Address, BadList, Roster, Update
 from ..discovery.watch import Watch
 from ..interface import Listing
 from . import clock
@@ -24,6 +24,7 @@
 from .log import Log
 from .operators import Operators
 from .servers import start
+from .succession import Inherited, Succession, reach
 from .watching import Watcher
 
 STACK = 128 * 1024
@@ -47,23 +48,28 @@
     sys.setswitchinterval(SWITCH)
     log = Log(config.name)
     roster = Roster(config.zones, clock.since_unix_ms)
-    known = roster.read(config.known)
+    before = reach(config.listen) if config.admin else None
+    known = first_list(roster, config, before)
     watch = Watch(roster, f"{config.discovery.host}:{config.discovery.port}", known.version,
                   2 * config.settings.ask_every)
     watcher = Watcher(watch, config.discovery)
     dispatcher = Dispatcher(config, log, watcher.follow)
     watcher.dispatcher = dispatcher
     try:
-        clients = Clients(dispatcher)
+        clients = Clients(dispatcher, before.listener if before else None)
     except OSError as trouble:
         raise BadConfig(f"cannot listen on {named(config.listen)}: {trouble.strerror}") from trouble
+    succession = Succession(dispatcher, clients, lambda: roster.whole(watch.version), config.listen)
     try:
-        operators = Operators(config.admin, dispatcher, clients) if config.admin else None
+        operators = Operators(config.admin, dispatcher, clients, succession) if config.admin else None
     except OSError as trouble:
         raise BadConfig(f"cannot listen on {named(config.admin)}: {trouble.strerror}") from trouble
     start(log.run)
     start(dispatcher.run_timers)
     start(watcher.run)
+    if before is not None:
+        dispatcher.inherit(before.by_hand, before.returned)
+        dispatcher.emptied = before.emptied
     dispatcher.listed(Listing.CACHED, known)
     if config.pushed:
         watcher.follow()
@@ -80,12 +86,23 @@
               checks="asserted" if __debug__ else "counted", form=compiled.FORM)
     start(clients.run)
     if operators is not None:
+        if before is not None:
+            succession.follow(before.line)
+        succession.offer()
         start(operators.run)
     while signal.sigwait(signals) == signal.SIGHUP:
         config = reload(config, path, dispatcher, watcher, log)
     drain(dispatcher, clients, log)
 
 
+def first_list(roster: Roster, config: Config, before: Inherited | None) -> Update:
+    """What the process before this one was told last, or what the file knows."""
+    if before is not None:
+        with suppress(BadList):
+            return roster.read(before.known)
+    return roster.read(config.known)
+
+
 def named(where: Address | None) -> str:
     return f"{where.host}:{where.port}" if where else ""
 
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -226,7 +226,7 @@
     def __init__(self, owner: Owner, config: Config, log: Log) -> None:
         self.owner = owner
         self.log = log
-        self.most = config.to_servers
+        self.all = self.most = config.to_servers
         self.adopt(config)
         self.idle: dict[int, list[Link]] = {}
         self.open = 0
@@ -303,11 +303,17 @@
         if link in idle:
             idle.remove(link)
 
-    def drop_oldest(self) -> None:
+    def drop_oldest(self) -> bool:
         oldest = min((idle[0] for idle in self.idle.values() if idle), key=lambda link: link.idle_since,
                      default=None)
         if oldest is not None:
             oldest.kill()
+        return oldest is not None
+
+    def share(self, part: int, parts: int) -> None:
+        self.most = self.all * part // parts
+        while self.open > self.most and self.drop_oldest():
+            pass
 
     def woke(self, now: int) -> None:
         """Retire what has stood idle for long, or is no longer of use."""
--- /dev/null
+++ b/pumicepath/sidecar/succession.py
@@ -0,0 +1,254 @@
+"""Replacing the process: the line between the old one and the new, by which all is handed that must run on.
+
+`reach` is the new process's first step; `Succession` answers it in the old one, and keeps both of one mind.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import threading
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import orjson
+
+from ..discovery.roster import Address
+from . import clock
+from .clients import Clients
+from .dispatch import Dispatcher
+from .servers import start
+
+NAME = "pumicepath.succession"
+VERSION = 1                 # of what is said on the line
+LONGEST_S = 1.0             # that the old process may take to answer
+AGREED_S = 0.5              # that a change made by hand waits for the other process
+MOST = 4 * 1024 * 1024      # bytes of one message
+
+
+class Broken(Exception):
+    """The other process says what can't be understood, or nothing."""
+
+
+class Line:
+    """One message a JSON line, both ways."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.rest = b""
+        self.writing = threading.RLock()
+        self.agreed = threading.Condition()
+        self.told = self.heard = 0
+        self.over = False
+
+    def send(self, message: dict[str, Any], descriptors: tuple[int, ...] = ()) -> None:
+        data = orjson.dumps(message, option=orjson.OPT_APPEND_NEWLINE)
+        with self.writing:
+            if descriptors:
+                count = socket.send_fds(self.sock, [data], list(descriptors))
+                data = data[count:]
+            self.sock.sendall(data)
+
+    def receive(self) -> tuple[dict[str, Any], list[int]]:
+        """The next message, with the descriptors that came; raises Broken once there is none."""
+        descriptors: list[int] = []
+        while b"\n" not in self.rest:
+            data, came, _, _ = socket.recv_fds(self.sock, 65536, 4)
+            descriptors += came
+            self.rest += data
+            if not data or len(self.rest) > MOST:
+                for each in descriptors:
+                    os.close(each)
+                raise Broken("the line has ended")
+        line, _, self.rest = self.rest.partition(b"\n")
+        message = orjson.loads(line)
+        if not isinstance(message, dict):
+            raise Broken("no message")
+        return message, descriptors
+
+    def agree(self, message: dict[str, Any]) -> None:
+        """Have the other process do the same, and wait for it, but not for one that is stuck."""
+        with self.agreed:
+            self.told += 1
+            number = self.told
+        with suppress(OSError):
+            self.send({**message, "number": number})
+            with self.agreed:
+                self.agreed.wait_for(lambda: self.heard >= number or self.over, AGREED_S)
+
+    def end(self) -> None:
+        with self.agreed:
+            self.over = True
+            self.agreed.notify_all()
+        self.sock.close()
+
+
+class Inherited(NamedTuple):
+    """What a new process goes on with."""
+
+    line: Line
+    listener: socket.socket | None
+    known: Any
+    by_hand: set[int]
+    returned: dict[int, int]
+    emptied: bool
+
+
+def place() -> Path | None:
+    folder = os.environ.get("TMPDIR", "")
+    return Path(folder) / NAME if folder else None
+
+
+class Short:
+    """A path short enough for a socket's address, whose length the kernel bounds to 107 bytes."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+
+    def __enter__(self) -> str:
+        self.folder = os.open(self.path.parent, os.O_RDONLY | os.O_DIRECTORY)
+        return f"/proc/self/fd/{self.folder}/{self.path.name}"
+
+    def __exit__(self, *_: object) -> None:
+        os.close(self.folder)
+
+
+def reach(listen: Address) -> Inherited | None:
+    """What the process that serves at this address hands over; None where there is none, or it says nothing.
+
+    Guards the start against what a process long dead has left: then this one starts from nothing.
+    """
+    path = place()
+    if path is None or not path.exists():
+        return None
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    descriptors: list[int] = []
+    try:
+        sock.settimeout(LONGEST_S)
+        with Short(path) as short:
+            sock.connect(short)
+        line = Line(sock)
+        line.send({"version": VERSION, "listen": list(listen)})
+        told, descriptors = line.receive()
+        if told.get("version") != VERSION:
+            raise Broken(f"version {told.get('version')}")
+        returned = {int(server): clock.since_monotonic(int(then)) for server, then in told["returned"]}
+        listener = socket.socket(fileno=descriptors.pop()) if descriptors else None
+        sock.settimeout(None)
+        return Inherited(line, listener, told["known"], {int(server) for server in told["by_hand"]}, returned,
+                         bool(told["emptied"]))
+    except (OSError, Broken, ValueError, TypeError, KeyError):
+        for each in descriptors:
+            os.close(each)
+        sock.close()
+        return None
+
+
+class Succession:
+    """Both ends of the line in a process that runs: to the one before it, and to the one after it."""
+
+    def __init__(self, dispatcher: Dispatcher, clients: Clients, known: Callable[[], Any],
+                 listen: Address) -> None:
+        self.dispatcher = dispatcher
+        self.clients = clients
+        self.known = known
+        self.listen = list(listen)
+        self.lines: dict[Line, None] = {}
+        self.followed = False       # whether a process that takes clients has come after this one
+
+    def follow(self, before: Line) -> None:
+        """This process takes clients: the one before it leaves them to it."""
+        self.lines[before] = None
+        self.dispatcher.share(1, 2)
+        self.clients.share(2, 3)
+        self.dispatcher.events.event("succeeding")
+        with suppress(OSError):
+            before.send({"taking": True})
+        start(lambda: self.hear(before, False))
+
+    def offer(self) -> None:
+        """Wait for the process that will come after this one."""
+        path = place()
+        if path is None:
+            return
+        try:
+            with suppress(FileNotFoundError):
+                path.unlink()
+            listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+            with Short(path) as short:
+                listener.bind(short)
+            listener.listen(4)
+        except OSError as trouble:
+            # It can still be replaced, with what waits in its queue lost and nothing handed over.
+            self.dispatcher.events.event("no_succession", text=str(trouble))
+            return
+        start(lambda: self.accept(listener))
+
+    def accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                line = Line(listener.accept()[0])
+            except OSError as trouble:
+                self.dispatcher.events.event("no_succession", text=str(trouble))
+                return
+            start(lambda line=line: self.hear(line, True))  # type: ignore[misc]
+
+    def hear(self, line: Line, after: bool) -> None:
+        """All that the other process says, until it ends; `after` tells whether it comes after this one."""
+        taking = False
+        try:
+            if after:
+                self.hand_over(line)
+            while True:
+                message, _ = line.receive()
+                if message.get("taking") and after:
+                    taking = self.followed = True
+                    self.clients.pause(True)
+                    self.dispatcher.share(1, 2)
+                    self.dispatcher.events.event("succeeded", clients=len(self.clients.open))
+                if "done" in message:
+                    with line.agreed:
+                        line.heard = max(line.heard, int(message["done"]))
+                        line.agreed.notify_all()
+                if "number" in message:
+                    self.do(message)
+                    line.send({"done": message["number"]})
+        except (OSError, Broken, ValueError, TypeError, KeyError, IndexError) as trouble:
+            if not isinstance(trouble, (OSError, Broken)):
+                self.dispatcher.events.event("fault", text=f"{type(trouble).__name__}: {trouble}")
+        finally:
+            self.lines.pop(line, None)
+            line.end()
+            if taking:
+                # The new process is gone before this one was told to go: clients are this one's again.
+                self.followed = False
+                self.clients.pause(False)
+            if taking or not after:
+                self.dispatcher.share(1, 1)
+                self.clients.share(1, 1)
+                self.dispatcher.events.event("alone")
+
+    def hand_over(self, line: Line) -> None:
+        message, _ = line.receive()
+        dispatcher = self.dispatcher
+        with line.writing:
+            self.lines[line] = None  # what is changed from now on is told behind this, and may be in it too
+            by_hand, returned = dispatcher.handed()
+            told = {
+                "version": VERSION, "known": self.known(), "by_hand": sorted(by_hand),
+                "emptied": dispatcher.emptied,
+                "returned": [[server, clock.to_monotonic(then)] for server, then in sorted(returned.items())]}
+            same = message.get("listen") == self.listen
+            line.send(told, (self.clients.listener.fileno(),) if same else ())
+
+    def do(self, message: dict[str, Any]) -> None:
+        if "server" in message:
+            self.dispatcher.by_hand(str(message["server"]), bool(message["out"]), True)
+        if "emptied" in message:
+            self.clients.empty(bool(message["emptied"]))
+
+    def agree(self, message: dict[str, Any]) -> None:
+        for line in list(self.lines):
+            line.agree(message)
--- /dev/null
+++ b/tests/test_succession.py
@@ -0,0 +1,173 @@
+"""Replacing the process among stand-ins on loopback: under load, by hand, and with one that is broken."""
+
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import threading
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from pumicepath.discovery.roster import Address
+from pumicepath.http1 import writing
+from pumicepath.http1.parsing import RequestParser, ResponseParser
+from pumicepath.lab.loopback.scripted import Deployment, Peer, answer, next_of
+from pumicepath.sidecar.succession import NAME, Short, reach
+
+from .helpers import compare
+
+
+class Counting(Peer):
+    """Counts hops, and answers each with its id."""
+
+    def serve(self, sock: socket.socket) -> None:
+        parser = RequestParser()
+        with sock:
+            while (request := next_of(sock, parser)) is not None:
+                self.lines.append(request.header("X-Trace-Id"))
+                sock.sendall(answer(200, request.header("X-Trace-Id")))
+
+
+def replaceable(folder: Path, servers: int) -> Deployment:
+    around = Deployment(folder, servers, admin_addr="127.0.0.1:0")
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        around.told["listen"] = f"127.0.0.1:{free.getsockname()[1]}"
+    around.config.write_text(json.dumps(around.told))
+    around.environment = {"TMPDIR": str(folder)}
+    return around
+
+
+def replaced(around: Deployment) -> tuple[subprocess.Popen, tuple[str, int]]:
+    """The old process, still serving, with its second address; the new one stands in its place."""
+    old = around.process, around.operators
+    around.process = around.begun()
+    started = around.event("started")
+    host, port = started["operators"].rsplit(":", 1)
+    around.operators = (host, int(port))
+    around.event("succeeding")
+    return old
+
+
+def test_ten_replacements_under_load_turn_nothing_back(tmp_path: Path) -> None:
+    around, hops, heard, again = replaceable(tmp_path, 0), [], [], []  # type: ignore[var-annotated]
+    around.servers = [Counting(f"c-{at}", queue.SimpleQueue(), hops) for at in range(3)]
+    around.told["known"] = around.listing(1, True, "active")
+    around.config.write_text(json.dumps(around.told))
+    done = threading.Event()
+
+    def client(first: int, keeps: bool) -> None:
+        """Its connection is kept until the sidecar ends it, or is new each time."""
+        sock, parser, number = socket.create_connection(around.where), ResponseParser(), first
+        while not done.is_set():
+            number += 1
+            sending = writing.request("POST" if number % 2 else "GET", "/api", [
+                ("Host", "api"), ("X-Trace-Id", str(number)), ("X-Object", f"lot {number % 40}"),
+                ("X-Qos", "once" if number % 2 else "read")], b"")
+            try:
+                sock.sendall(sending)
+            except OSError:
+                again.append(number)
+            response = next_of(sock, parser)
+            if response is None:  # the sidecar's end of the connection crossed it: once more, on a new one
+                again.append(number)
+                sock, parser = socket.create_connection(around.where), ResponseParser()
+                sock.sendall(sending)
+                response = next_of(sock, parser)
+            heard.append(response is not None and response.status == 200 and int(response.body) == number)
+            if response is None or not response.keeps() or not keeps:
+                sock.close()
+                sock, parser = socket.create_connection(around.where), ResponseParser()
+        sock.close()
+
+    with around.running():
+        threads = [threading.Thread(target=client, args=(100_000 * at, at % 2 > 0), daemon=True)
+                   for at in range(1, 7)]
+        for thread in threads:
+            thread.start()
+        for _ in range(10):
+            old, _ = replaced(around)
+            old.send_signal(signal.SIGTERM)
+            assert old.wait(timeout=6) == 0
+        done.set()
+        for thread in threads:
+            thread.join()
+    assert len(heard) > 1000 and all(heard)
+    assert not [trace for trace, count in Counter(hops).items() if int(trace) % 2 and count > 1]
+    assert len(again) <= 2, f"{len(again)} turned back of {len(heard)}"
+
+
+def test_what_is_changed_by_hand_binds_both_and_outlives_the_old_process(tmp_path: Path) -> None:
+    around = replaceable(tmp_path, 2)
+    with around.running():
+        def say(path: str, where: tuple[str, int] | None = None) -> None:
+            around.lines.append(f"{path}: {around.call('PUT', path, where).status}")
+
+        def see(what: str, *where: tuple[str, int]) -> None:
+            for one, at in zip(("old", "new"), where):
+                response = around.call("GET", "/stats", at)
+                avoided = [line for line in response.body.decode().split() if "unhealthy" in line]
+                around.lines.append(f"{what}, {one}: {avoided[0]}")
+
+        say("/servers/s-0/maint")
+        old, first = replaced(around)
+        see("out before", first, around.operators)
+        say("/servers/s-1/maint", first)
+        see("out at the old", first, around.operators)
+        say("/servers/s-0/ready")
+        see("back at the new", first, around.operators)
+        say("/healthcheck/fail")
+        around.event("emptied", old)
+        old.send_signal(signal.SIGTERM)
+        assert old.wait(timeout=6) == 0
+        last, _ = replaced(around)
+        last.kill()
+        last.wait()
+        around.event("alone")
+        for path in ("/servers/s-1/ready", "/healthcheck/ok"):
+            say(path)
+        around.client, around.parser = socket.create_connection(around.where), ResponseParser()
+        around.ask("read", answer(200, "served by the third"))
+    compare("succession", [line.replace("s-0: GET", "s: GET").replace("s-1: GET", "s: GET")
+                           for line in around.lines])
+
+
+def test_a_new_process_that_ends_leaves_the_old_one_as_it_was(tmp_path: Path) -> None:
+    around = replaceable(tmp_path, 1)
+    with around.running():
+        old, where = replaced(around)
+        around.process.kill()
+        around.process.wait()
+        around.process, around.operators = old, where
+        around.event("alone")
+        around.config.write_text("{")
+        refusing = around.begun()
+        assert refusing.wait(timeout=20) == 2
+        around.client, around.parser = socket.create_connection(around.where), ResponseParser()
+        around.ask("read", answer(200, "by the old one"))
+    assert around.lines[-1] == "client: 200 by the old one"
+
+
+@pytest.mark.parametrize("says", [b"", b"{", b"[1]\n", b'{"version": 9}\n', b'{"version": 1}\n', None])
+def test_what_stands_there_and_says_nothing_of_use_is_started_without(
+        says: bytes | None, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    assert reach(Address("127.0.0.1", 1)) is None
+    with socket.socket(socket.AF_UNIX) as listener, Short(tmp_path / NAME) as short:
+        listener.bind(short)
+        if says is None:
+            assert reach(Address("127.0.0.1", 1)) is None  # of a process long dead
+            return
+        listener.listen()
+
+        def speak() -> None:
+            with listener.accept()[0] as sock:
+                sock.sendall(says)
+                sock.recv(999)
+        threading.Thread(target=speak, daemon=True).start()
+        before = len(os.listdir("/proc/self/fd"))
+        assert reach(Address("127.0.0.1", 1)) is None
+        assert len(os.listdir("/proc/self/fd")) <= before + 1
