--- a/pumicepath/http1/parsing.py
+++ b/pumicepath/http1/parsing.py
@@ -39,7 +39,7 @@
 
     def __init__(self, most_body: int = MOST_BODY) -> None:
         self.most_body = most_body
-        self.ring = Ring(MOST_HEAD + most_body)
+        self.ring = Ring(MOST_HEAD + min(most_body, MOST_BODY))
         self.step = START
         self.message: Message = Message()
         self.parts: list[bytes] = []
@@ -62,6 +62,10 @@
         """Whether no byte of a next message has come."""
         return self.step == START and not len(self.ring) and not self.lines
 
+    def long(self) -> bool:
+        """Whether a body is coming that is longer than what is held of one."""
+        return self.step > HEADERS and self.got > MOST_BODY
+
     def begun(self) -> tuple[Message, int] | None:
         """The message whose body is coming, and its length, or -1 where that is not known yet."""
         if self.step <= HEADERS:
@@ -171,6 +175,7 @@
             if size is None:
                 raise Malformed(400, "malformed size of a chunk")
             self.left = int(size[1], 16)
+            self.head = 0  # bounded by itself: a long body in small chunks has many such lines
             self.grow(self.left)
             self.step = CHUNK_DATA if self.left else TRAILERS
         elif self.step == CHUNK_END:
@@ -268,11 +273,17 @@
 
     def next(self) -> Request | None:
         message = super().next()
-        if message is None:
-            return None
+        return None if message is None else self.checked(message)
+
+    @staticmethod
+    def checked(message: Message) -> Request:
+        """With its target as servers are asked for it, whichever form it came in (RFC 9112, 3.2)."""
         assert isinstance(message, Request)
         if message.minor and len(message.all("host")) != 1:
             raise Malformed(400, "not one Host header")
+        if message.target[:7].lower() == "http://":
+            _, slash, path = message.target[7:].partition("/")
+            message.target = "/" + path if slash else "/"
         return message
 
     def glance(self) -> tuple[int, str, str, bool] | None:
@@ -288,7 +299,7 @@
             return None
         end = ring.head + at + 2
         head = REQUEST.fullmatch(ring.store, ring.head, end)
-        if head is None or head[3] == b"0":
+        if head is None or head[3] == b"0" or head[1] == b"HEAD":
             return None
         framing = FRAMING.findall(ring.store, ring.head, end)
         size = at + 4
--- a/pumicepath/http1/writing.py
+++ b/pumicepath/http1/writing.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-WHOLE, CHUNKED = -2, -1       # in place of a length
+NO_LENGTH, WHOLE, CHUNKED = -3, -2, -1  # in place of a length
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 413: "Content Too Large",
@@ -18,8 +18,14 @@
     return "\r\n".join(head).encode("latin-1") + body
 
 
-def request(method: str, target: str, headers: list[tuple[str, str]], body: bytes = b"") -> bytes:
-    if body or method not in ("GET", "HEAD"):
+def request(method: str, target: str, headers: list[tuple[str, str]], body: bytes = b"",
+            length: int = WHOLE) -> bytes:
+    """A whole request, or the head of one whose body follows, with its length or in chunks."""
+    if length == CHUNKED:
+        headers = [*headers, ("Transfer-Encoding", "chunked")]
+    elif length != WHOLE:
+        headers = [*headers, ("Content-Length", str(length))]
+    elif body or method not in ("GET", "HEAD"):
         headers = [*headers, ("Content-Length", str(len(body)))]
     return lines(f"{method} {target} HTTP/1.1", headers, body)
 
@@ -27,8 +33,11 @@
 def response(status: int, headers: list[tuple[str, str]], body: bytes, keep: bool,
              length: int = WHOLE) -> bytes:
     """A whole answer, or the head of one whose body follows, with its length or in chunks."""
-    framing = [("Transfer-Encoding", "chunked") if length == CHUNKED else
-               ("Content-Length", str(len(body) if length == WHOLE else length))]
+    framing = []
+    if length == CHUNKED:
+        framing.append(("Transfer-Encoding", "chunked"))
+    elif length != NO_LENGTH:
+        framing.append(("Content-Length", str(len(body) if length == WHOLE else length)))
     if not keep:
         framing.append(("Connection", "close"))
     return lines(f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", [*headers, *framing], body)
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -171,7 +171,8 @@
 class Submission:
     """One submission from its taking to its final answer, and its hops until the last has ended."""
 
-    __slots__ = ("balancer", "name", "terms", "key", "until", "retry", "hops", "out", "done")
+    __slots__ = ("balancer", "name", "terms", "key", "until", "retry", "hops", "out", "done", "coming",
+                 "spent")
 
     def __init__(self, balancer: Balancer, name: int, terms: Terms, key: int, retry: bool,
                  until: int) -> None:
@@ -184,6 +185,18 @@
         self.hops: list[Hop] = []
         self.out = 0
         self.done = False
+        self.coming = False         # whether its body still comes, and goes on as it does
+        self.spent = False          # whether part of its body was let go, so that no other hop can have it
+
+    def whole(self, now: int, number: int, until: int) -> None:
+        """The last of a body has come: patience and the time of the hop that carries it begin."""
+        hop = self.hops[number]
+        self.coming = False
+        self.until = until
+        if hop.out:
+            hop.at = now
+            hop.due = now + int(max(STALL * self.terms.usual, STALL_PART * self.terms.agreed))
+            self.balancer.outlet.wake(now + self.terms.agreed, self)
 
     def over(self) -> bool:
         return self.done and self.out == 0
@@ -250,7 +263,8 @@
             self.bound(now)
         except PermissionError:
             return False
-        return len(self.hops) < self.balancer.settings.most_hops and self.balancer.retries_left >= 1.0
+        return (not self.spent and len(self.hops) < self.balancer.settings.most_hops
+                and self.balancer.retries_left >= 1.0)
 
     def bound(self, now: int) -> Hop | None:
         """Where a further hop may go: any server, or only the group of the first hop that may have run.
@@ -277,7 +291,7 @@
     def go_on(self, now: int) -> None:
         """Send the next hop, or give the final answer at once."""
         server = -1
-        if now < self.until and self.balancer.may_retry(self):
+        if now < self.until and not self.spent and self.balancer.may_retry(self):
             server = self.balancer.pick(now, self)
         if server >= 0:
             self.send(now, server)
@@ -297,7 +311,10 @@
         self.out += 1
         balancer.outlet.send(self.name, balancer.ids[server], 0)
         agreed = self.terms.agreed
-        if now + agreed < self.until:
+        if self.coming:
+            # Guards the server, which can't begin yet, against being judged by how fast its client sends.
+            self.hops[-1].at = self.hops[-1].due = self.until
+        elif now + agreed < self.until:
             balancer.outlet.wake(now + agreed, self)
 
 
@@ -337,7 +354,7 @@
         self.salt: list[int] = []
         self.ready: list[int] = []
         self.near: list[int] = []  # those of them that this sidecar uses
-        self.by_hand: set[int] = set()  # ids that operators have taken out, whatever the list says
+        self.by_hand: dict[int, int] = {}  # ids that operators have taken out, and since when
         self.returned: dict[int, int] = {}  # when those came back that may still be cold
         self.settling: Settling | None = None
         self.quota = 0.0
@@ -430,24 +447,23 @@
     def hand(self, now: int, server: int, out: bool, certain: bool = False) -> bool:
         """Take a server out by hand, or let it serve again; False for an id that nobody has.
 
-        Guards a server that operators work on: no list, breaker or trial brings it back.  It was restarted
-        meanwhile, for all that is known, so it returns cold.  `certain`: another process has found the id.
+        Guards a server that operators work on: no list, breaker or trial brings it back.  It returns cold, as
+        of a start listed since, else as of now.  `certain`: another process has found the id.
         """
         at = self.index.get(server, -1)
         known = server in self.by_hand
-        if not known and not certain and (at < 0 or self.phase[at] == Phase.GONE):
-            return False
-        if out and len(self.by_hand) >= MOST_BY_HAND and not known:
+        lacks = (at < 0 or self.phase[at] == Phase.GONE) and not certain
+        if not known and (lacks or out and len(self.by_hand) >= MOST_BY_HAND):
             return False
         if out:
-            self.by_hand.add(server)
+            self.by_hand.setdefault(server, now)
         elif known:
-            self.by_hand.remove(server)
             longest = max(self.settings.cold_for, self.settings.fall_window)
             self.returned = {one: then for one, then in self.returned.items() if now - then < longest}
-            self.returned[server] = now
+            if self.by_hand.pop(server) >= (self.came_up[at] if at >= 0 else 0):
+                self.returned[server] = now
             if at >= 0:
-                self.begin(now, at, now)
+                self.begin(now, at, max(self.came_up[at], self.returned.get(server, 0)))
         self.choose_ready()
         if out != known:
             name = self.names[at] if at >= 0 else str(server)
@@ -643,9 +659,11 @@
         """Take a submission; `until` is when its client gives up, a key of 0 means none."""
         return self.take_under(now, name, self.terms[tariff], key, retry, until)
 
-    def take_under(self, now: int, name: int, terms: Terms, key: int, retry: bool, until: int) -> Submission:
+    def take_under(self, now: int, name: int, terms: Terms, key: int, retry: bool, until: int,
+                   coming: bool = False) -> Submission:
         """Take one under the terms that were in force when it was read, though others may be by now."""
         one = Submission(self, name, terms, key, retry, until)
+        one.coming = coming
         if key:
             self.meet(key)
         self.retries_left = min(10.0, self.retries_left + 0.2)
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -16,15 +16,18 @@
 from ..http1.ring import Ring
 from . import answers, arrival, clock
 from .dispatch import Dispatcher
-from .exchange import Exchange
+from .exchange import Abandoned, Exchange
 from .submissions import TARIFF, asked
+from .upload import FAR, Upload
 
 # Taken off a client's patience for the way to and fro and for threads that wait their turn.
 ALLOWANCE = 25_000
 LATE = 5_000                # from when a request has waited for its thread
-LONGEST_WRITE = struct.pack("ll", 1, 0)
+LONGEST_WRITE = struct.pack("ll", 10, 0)
+RESET = struct.pack("ii", 1, 0)
 SINK = bytearray(256 * 1024)  # what nobody reads goes there; the kernel does not even copy it
 
+MOST_UPLOAD = 40 << 20      # what says that it is longer is refused
 MOST_ERRORS = 3             # in a row, until the connection is closed
 
 # What a connection is doing: LAST has been told to end between requests, and serves what crossed that.
@@ -52,10 +55,14 @@
         self.keep = True
         self.errors = 0
         self.served = 0
-        self.chunked = False
+        self.chunked = self.unframed = self.reset = False
         self.last = False
         self.group = ""             # the class of the submission under way, and its answer's status
         self.status = 0
+        self.head = False           # whether the answer has no body, as to HEAD
+        self.upload: Upload | None = None
+        self.broken = False         # whether it broke a body off, or sent it too slowly
+        self.got = 0                # of a request that is not whole
         self.inside = False         # at the entrance, which others wait for
         self.answered = threading.Event()
         self.gate = threading.Lock()
@@ -70,7 +77,7 @@
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, LONGEST_WRITE)
             arrival.mark(self.sock)
             self.read()
-            while self.state == CLOSING and self.sock.recv_into(SINK, 0, socket.MSG_TRUNC):
+            while self.state == CLOSING and not self.reset and self.sock.recv_into(SINK, 0, socket.MSG_TRUNC):
                 pass  # guards the answer: closed with bytes unread, it would be lost on its way
         except OSError:
             pass  # the client has broken the connection off
@@ -83,13 +90,16 @@
 
     def read(self) -> None:
         """Until the connection is to be closed."""
-        parser = RequestParser()
+        parser = RequestParser(MOST_UPLOAD)
         intake = self.owner.dispatcher.entrance.intake
         told = False
         arrived = 0
         while True:
             try:
                 request = parser.next()
+                if request is None and parser.long():
+                    request = parser.checked(parser.message)
+                    self.upload = Upload(self, parser)
             except Malformed as trouble:
                 if self.enter(BUSY):
                     self.refuse(trouble, False)
@@ -97,7 +107,16 @@
             if request is not None:
                 if not self.enter(BUSY):
                     return
+                if self.upload is not None and not told and parser.awaited():
+                    self.sock.sendall(writing.CONTINUE)
                 self.serve(request, arrived)
+                if self.upload is not None:
+                    if not self.upload.whole and not self.broken:
+                        with suppress(Abandoned):
+                            self.upload.discard()
+                    self.upload = None
+                    if self.broken:
+                        self.enter(CLOSING)
                 told = False
                 if not self.enter(IDLE if parser.idle() else PARTIAL):
                     return
@@ -110,6 +129,7 @@
             if not count:
                 return
             parser.ring.wrote(count)
+            self.got += count
             if parser.step == START and intake.full() and self.turned_away(parser, arrived):
                 if not self.enter(IDLE):
                     return
@@ -130,6 +150,7 @@
                 self.keep = False
             self.state = state
             self.since = clock.now()
+            self.got = 0
         return True
 
     def turned_away(self, parser: RequestParser, arrived: int) -> bool:
@@ -142,6 +163,7 @@
         if seen is None:
             return False
         size, name, expires, retry = seen
+        self.head = False
         dispatcher = self.owner.dispatcher
         config, terms = dispatcher.serving
         tariff = config.tariffs.get(name)
@@ -199,6 +221,7 @@
         """The submission, its first hop still to be carried out; None if its client is answered or gone."""
         dispatcher = self.owner.dispatcher
         self.keep = request.keeps() and not self.last
+        self.head = request.method == "HEAD"
         if request.target == "/up" and request.method in ("GET", "HEAD"):
             ready = dispatcher.balancer.ready and not dispatcher.leaving()
             self.answer(answers.READY if ready else answers.NOT_READY, not dispatcher.leaving())
@@ -233,8 +256,9 @@
         # The way out will take about as long as a thread now waits for its turn: guards against patience that
         # ends unseen on a crowded core.  A quarter at most: a hiccup must not cost what could be served.
         allowance = min(ALLOWANCE, what.patience // 20) + min(dispatcher.pace.behind, what.patience // 4)
-        exchange = Exchange(self, what.trace, request, arrived + what.patience - allowance, dispatcher)
-        exchange.last = arrived + what.patience
+        patience = what.patience - allowance
+        exchange = Exchange(self, what.trace, request, arrived + (patience if self.upload is None else FAR),
+                            dispatcher, self.upload, patience)
         self.answered.clear()
         try:
             if dispatcher.take(exchange, terms[what.tariff], what.key, what.retry):
@@ -257,14 +281,18 @@
     def answer(self, answer: answers.Answer, keep: bool) -> None:
         self.keep = keep and self.keep
         self.status = answer.status
-        self.write(writing.response(*answer, self.keep))
+        if self.head:
+            self.write(writing.response(answer.status, answer.headers, b"", self.keep, len(answer.body)))
+        else:
+            self.write(writing.response(*answer, self.keep))
         self.finish()
 
     def begin(self, answer: answers.Answer, length: int, keep: bool) -> None:
         """The head of an answer that is passed on as it comes; `more` has its body, or `cut` ends it."""
-        self.keep = keep and self.keep
+        self.keep = keep and self.keep and length != writing.NO_LENGTH
         self.status = answer.status
         self.chunked = length == writing.CHUNKED
+        self.unframed = length == writing.NO_LENGTH
         self.write(writing.response(*answer, self.keep, length))
 
     def more(self, piece: bytes, last: bool) -> bool:
@@ -275,10 +303,10 @@
         return done
 
     def cut(self) -> None:
-        """The rest of the answer will not come: the client can tell, as it lacks its end."""
+        """The rest of the answer will not come: the client can tell, as it lacks its end or is reset."""
         self.keep = False
         self.status = 502
-        self.finish()
+        self.finish(self.unframed)
 
     def write(self, data: bytes) -> bool:
         rest = memoryview(data)
@@ -300,19 +328,24 @@
             self.leave()
             return self.sock.send(data)
 
-    def finish(self) -> None:
+    def finish(self, reset: bool = False) -> None:
         self.outgoing.rest()
         if self.group:
             self.owner.dispatcher.figures.ended(self.group, self.status)
             self.group = ""
         if not self.keep:
             self.enter(CLOSING)
-            self.shut(socket.SHUT_WR)
+            if reset:
+                with suppress(OSError):
+                    self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            else:
+                self.shut(socket.SHUT_WR)
+            self.reset = reset
         self.answered.set()
 
     def gone(self) -> bool:
         """Whether the client has closed its connection, as far as that has come."""
-        return arrival.gone(self.sock)
+        return self.broken or arrival.gone(self.sock)
 
     # -- closing, by other threads
 
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -7,7 +7,7 @@
 import time
 from collections import Counter
 
-from . import clock
+from . import clock, upload
 from .client import BUSY, CLOSING, FRESH, IDLE, LAST, PARTIAL, Client
 from .config import Config
 from .dispatch import Dispatcher
@@ -18,14 +18,14 @@
 SWEEP = 50_000              # between two looks for connections whose time is up, while room is scarce
 SWEEP_AT_EASE = 250_000     # and while it is not: all that is closed then has waited a second and more
 SILENT = 2_000_000          # until a connection that has sent nothing is closed
-UNFINISHED = 2_000_000      # until a request that has begun must be whole
+UNFINISHED = upload.FIRST   # until a request that has begun must be whole, and more for what has come of it
 IDLE_LONG = 15_000_000      # between requests, while there is room
 IDLE_SHORT = 300_000        # and while more than a third of it is taken
 IDLE_ONCE = 60_000          # then, on a connection that has been used only once
 FIRST_BYTES = 300_000       # for the first request on a new connection, while clients are sent away
 LINGER = 1_000_000          # for the client to close after we did
 # At the bound, from when a connection makes room for a new one: its first bytes are overdue, or it rests.
-CROWDED = {FRESH: 50_000, CLOSING: 100_000, IDLE: 100_000, PARTIAL: 1_000_000}
+CROWDED = {FRESH: 50_000, CLOSING: 100_000, IDLE: 100_000, PARTIAL: 2_100_000}
 LOOK = 5_000                # between two looks for such connections
 EVICTED = 8                 # at a time more than needed, since many come together
 SPARE = 24
@@ -163,7 +163,8 @@
 
     def under_way(self) -> int:
         """How many submissions are taken and not ended."""
-        return sum(1 for client in list(self.open) if client.group)
+        return sum(1 for client in list(self.open)
+                   if client.group and (client.upload is None or client.upload.whole))
 
     def empty(self, out: bool) -> None:
         """Send clients away, or take them again."""
@@ -199,5 +200,7 @@
             state = client.state
             once = scarce and state == IDLE and client.served < 2
             limit = IDLE_ONCE if once else longest.get(state, now)
+            if state == PARTIAL:
+                limit += int(client.got / upload.SLOWEST)
             if now - client.since >= limit:
                 client.expire(state)
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -14,7 +14,7 @@
 
 KEPT_BACK = 48              # descriptors for the listener, discovery, files, and clients beyond the bound
 OWN_MB = 24                 # memory before the first connection, with room for the list
-HELD_PART = 1 / 16          # of the memory for answers larger than a connection's part, until they are whole
+SPARE_PART = 1 / 16         # of the memory for the allocator and what grows
 CONNECTION_KB = 140         # a connection with its thread and full bodies both ways: 132 measured
 
 
@@ -29,7 +29,6 @@
     discovery: Address
     seed: int
     connections: int
-    held: int
     known: Any
     zones: tuple[str, ...]
     tariffs: dict[str, int]
@@ -71,8 +70,7 @@
     check(info)
     limits, allowed = told.get("limits", {}), info.get("policyLimits", {})
     memory = float(limits.get("memory_mb", 192))
-    held = memory * HELD_PART
-    fitting = (memory - held - OWN_MB) * 1024 / CONNECTION_KB
+    fitting = (memory * (1 - SPARE_PART) - OWN_MB) * 1024 / CONNECTION_KB
     connections = int(min(limits.get("sockets", 1024) - KEPT_BACK, fitting))
     if connections < 8:
         raise BadConfig("limits leave no room for connections")
@@ -88,7 +86,6 @@
         discovery=address(told["discovery"]),
         seed=int(str(told.get("seed", "0")), 16),
         connections=connections,
-        held=int(held * 1024 * 1024),
         known=known,
         zones=zones,
         tariffs={name: at for at, name in enumerate(names)},
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -186,13 +186,13 @@
             if exchange.trace in self.traces:
                 return
             self.traces.add(exchange.trace)
-            self.expiring.append((exchange.until, exchange.trace))
+            self.expiring.append((min(exchange.until, now + self.longest), exchange.trace))
             self.taken += 1
             exchange.number = self.taken
             self.exchanges[exchange.number] = exchange
             exchange.handle = self.balancer.take_under(now, exchange.number, terms, key, retry,
-                                                       exchange.until)
-            if not exchange.answered:
+                                                       exchange.until, exchange.upload is not None)
+            if not exchange.answered and exchange.upload is None:
                 self.wake(exchange.until, exchange)
             self.forget(exchange)
         self.decide(call)
@@ -204,13 +204,32 @@
             hop = exchange.pending.popleft()
             link = hop.link
             assert isinstance(link, Link)
-            outcome, response, reuse = link.carry(hop)
+            try:
+                outcome, response, reuse = link.carry(hop)
+            except Exception:
+                self.decide(lambda now, link=link: self.dropped(link))  # type: ignore[misc]
+                raise
             exchange.client.resume()
             try:
                 self.returned(hop, link, outcome, response, reuse)
             finally:
                 exchange.client.leave(clock.now() - hop.came if hop.came else 0)
 
+    def dropped(self, link: Link) -> None:
+        link.hop = None
+        link.kill()
+
+    def whole(self, hop: Hop) -> None:
+        exchange = hop.exchange
+
+        def call(now: int) -> None:
+            if exchange.answered or exchange.handle is None:
+                return
+            exchange.until = now + exchange.patience
+            exchange.handle.whole(now, hop.number, exchange.until)
+            self.wake(exchange.until, exchange)
+        self.decide(call)
+
     def returned(self, hop: Hop, link: Link, outcome: Outcome, response: Response | None,
                  reuse: bool) -> None:
         """A hop has ended; its connection is ready for another, or it is closed."""
@@ -241,7 +260,10 @@
         self.decide(call)
 
     def pass_on(self, hop: Hop, parser: ResponseParser) -> bool:
-        """Guards the memory limit: an answer too large to be held is passed on as it comes."""
+        """Guards the memory limit: an answer too long to be held is passed on as it comes.
+
+        For the balancer the hop has ended: what slows the rest may be the client, and nothing cuts it.
+        """
         exchange, begun = hop.exchange, parser.begun()
         if begun is None:
             return False
@@ -249,11 +271,13 @@
         if not isinstance(head, Response) or head.status != 200:
             return False
         if length == writing.CHUNKED and not exchange.request.minor:
-            return False  # it could not tell whether it has all of it
+            length = writing.NO_LENGTH
 
         def call(now: int) -> None:
-            if not exchange.answered and not hop.ended and not hop.cancelled:
-                exchange.answered = exchange.passing = True
+            if not exchange.answered and not hop.ended and not hop.cancelled and exchange.handle is not None:
+                exchange.answered = hop.ended = True
+                exchange.handle.ended(now, hop.number, Outcome.OK, max(hop.at, hop.came) - hop.at, True)
+                self.forget(exchange)
                 passed.append(True)
         passed: list[bool] = []
         self.decide(call)
@@ -311,17 +335,17 @@
         self.decide(call)
         return bool(done)
 
-    def handed(self) -> tuple[set[int], dict[int, int]]:
-        """The servers out by hand, and since when those are back that may be cold."""
+    def handed(self) -> tuple[dict[int, int], dict[int, int]]:
+        """The servers out by hand and those back that may be cold, with the times since when."""
         def call(now: int) -> None:
-            told.append((set(self.balancer.by_hand), dict(self.balancer.returned)))
-        told: list[tuple[set[int], dict[int, int]]] = []
+            told.append((dict(self.balancer.by_hand), dict(self.balancer.returned)))
+        told: list[tuple[dict[int, int], dict[int, int]]] = []
         self.decide(call)
         return told[0]
 
-    def inherit(self, by_hand: set[int], returned: dict[int, int]) -> None:
+    def inherit(self, by_hand: dict[int, int], returned: dict[int, int]) -> None:
         """Before the first list: what the process before this one was told by hand."""
-        self.balancer.by_hand, self.balancer.returned = set(by_hand), returned
+        self.balancer.by_hand, self.balancer.returned = by_hand, returned
         self.pool.barred = set(by_hand)
 
     def share(self, part: int, parts: int) -> None:
@@ -365,8 +389,6 @@
         self.figures.count("sends")
 
     def cancel(self, submission: int, hop: int) -> None:
-        if self.exchanges[submission].passing:
-            return  # guards an answer that the client has part of: it ends by itself or with its patience
         given_up = self.exchanges[submission].hops[hop]
         given_up.cancelled = True
         given_up.link.kill()
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from ..http1.messages import Request
@@ -38,10 +38,27 @@
         """Nothing goes out on it from now on."""
 
 
+class Upload(Protocol):
+    """A body that is too long to be held."""
+
+    length: int
+    begun: bool
+
+    def pieces(self) -> Iterator[tuple[bytes, bool]]:
+        """What comes of it, and whether that is the last; raises Abandoned if its client ends it."""
+
+
+class Abandoned(Exception):
+    """The client has broken its body off, or sends too slowly."""
+
+
 class Owner(Protocol):
     def started(self, hop: Hop) -> None:
         """More of a hop's answer has come, but not all of it."""
 
+    def whole(self, hop: Hop) -> None:
+        """The last of the body that a hop carries has come."""
+
     def sent(self) -> None:
         """A hop has been written whole."""
 
@@ -64,9 +81,10 @@
     """Its client's thread carries it: what is sent is `pending` until that thread takes it up."""
 
     __slots__ = ("number", "client", "trace", "request", "until", "owner", "handle", "hops", "pending",
-                 "answered", "left", "passing", "last")
+                 "answered", "left", "upload", "patience")
 
-    def __init__(self, client: Answerer, trace: str, request: Request, until: int, owner: Owner) -> None:
+    def __init__(self, client: Answerer, trace: str, request: Request, until: int, owner: Owner,
+                 upload: Upload | None = None, patience: int = 0) -> None:
         self.number = 0
         self.client = client
         self.trace = trace
@@ -78,18 +96,14 @@
         self.pending: deque[Hop] = deque()
         self.answered = False
         self.left = False
-        self.passing = False        # whether its answer goes out as it comes
-        self.last = until           # when its client gives up, with nothing allowed for
+        self.upload = upload
+        self.patience = patience    # from the last byte of such a body on
 
     def over(self) -> bool:
         return self.handle is not None and self.handle.over()
 
     def woke(self, now: int) -> None:
         """Its patience is over: answers for servers that say nothing."""
-        if self.passing and now < self.last:
-            # Guards an answer that is on its way against our own allowance, which would cut it in two.
-            self.owner.wake(self.last, self)
-            return
         for hop in list(self.hops):
             self.owner.end(now, hop, Outcome.TIMEOUT)
         if not must(self.answered, "no final answer when patience ended"):
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -125,7 +125,7 @@
         return config
     waiting = [key for key in FIXED if fixed(new, key) != fixed(config, key)]
     new = replace(new, name=config.name, listen=config.listen, admin=config.admin, seed=config.seed,
-                  connections=config.connections, held=config.held)
+                  connections=config.connections)
     before, after = config.settings, localised(new, watcher.watch.roster).settings
     changed = after != before or (new.zones, new.idle, new.dial) != (
         config.zones, config.idle, config.dial)
@@ -141,7 +141,7 @@
 
 
 def fixed(config: Config, key: str) -> object:
-    return (config.connections, config.held) if key == "limits" else getattr(config, key)
+    return config.connections if key == "limits" else getattr(config, key)
 
 
 def localised(config: Config, roster: Roster) -> Config:
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 import threading
 from collections import Counter
 from collections.abc import Callable
@@ -17,14 +18,16 @@
 from ..interface import Outcome, Phase
 from . import arrival, clock
 from .config import Config
-from .exchange import Hop, Owner
+from .exchange import Abandoned, Hop, Owner, Upload
 from .log import Log
 
 DEADLINE = "x-expires-in-ms"
 NEVER_RAN = "X-Never-Ran"
 ENOUGH = 5                  # rests of about one length, from which their resets tell something
 KEPT = 0.99                 # of what is known about rests, from one look at the connections to the next
-MOST_ANSWER = 16 * 1024 * 1024  # what says that it is larger is taken for spoilt
+MOST_ANSWER = 40 << 20      # what says that it is larger is taken for spoilt
+UNMOVED = struct.pack("ll", 10, 0)  # for how long nothing may move of what goes through as it comes
+UNBOUND = struct.pack("ll", 0, 0)
 
 
 class Origin(NamedTuple):
@@ -84,6 +87,8 @@
             if self.sock is None:
                 self.connect(self.origin.where)
             self.write(hop)
+        except Abandoned:
+            return Outcome.CANCELLED, None, False
         except OSError:
             return Outcome.CONNECT_FAILED, None, False
         try:
@@ -110,12 +115,35 @@
         if self.dead or hop.ended or self.sock is None or self.pool.origin(self.server) != self.origin:
             # Guards a server that was taken out, or drains, since the hop was chosen: dialling takes time.
             raise ConnectionAbortedError
-        self.outgoing.put(request(hop))
-        while len(self.outgoing):
-            self.outgoing.drop(self.sock.send(self.outgoing.data()))
+        self.outgoing.put(request(hop, self.origin.where if self.origin else Address("", 0)))
+        self.flush()
+        if hop.exchange.upload is not None:
+            self.pass_body(hop, hop.exchange.upload)
         self.outgoing.rest()
         self.pool.owner.sent()
 
+    def flush(self) -> None:
+        while len(self.outgoing) and self.sock is not None:
+            self.outgoing.drop(self.sock.send(self.outgoing.data()))
+
+    def pass_body(self, hop: Hop, upload: Upload) -> None:
+        """Guards the memory limit: a body too long to be held goes on as it comes."""
+        assert self.sock is not None
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, UNMOVED)
+        handle = hop.exchange.handle
+        for piece, last in upload.pieces():
+            if handle is not None:
+                handle.spent = True
+            if last:
+                self.pool.owner.whole(hop)
+            if self.dead or hop.ended:
+                raise ConnectionAbortedError
+            data = memoryview(writing.chunk(piece, last) if upload.length == writing.CHUNKED else piece)
+            while data:
+                data = data[self.outgoing.put(data):]
+                self.flush()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, UNBOUND)
+
     def read(self, hop: Hop) -> tuple[Outcome, Response | None, bool]:
         """Read the answer; what is too large to be held until it is whole is passed on as it comes."""
         sock, parser, owner = self.sock, self.parser, self.pool.owner
@@ -123,7 +151,6 @@
         parser.method = hop.exchange.request.method
         client = hop.exchange.client
         passing = False
-        held = 0
         try:
             while True:
                 count, hop.came = arrival.receive(sock, parser.ring.room(min(parser.left, MOST_BODY)), hop.at)
@@ -138,31 +165,38 @@
                 if response is not None:
                     # What follows a good answer unasked is the connection's trouble, not the answer's.
                     reuse = response.keeps() and not response.until_close and parser.idle() and count > 0
+                    if passing:
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, UNBOUND)
                     if passing and client.more(response.body, True):
                         passing = False
                     return outcome_of(response), response, reuse
                 if not count:
                     return Outcome.RESET, None, False
-                owner.started(hop)
-                more = 0 if passing else max(0, parser.got - MOST_BODY - held)
-                if more and self.pool.held.take(more):
-                    held += more
-                elif more and not (passing := owner.pass_on(hop, parser)):
-                    raise Malformed(502, "answer too large to be held")
+                if not passing:
+                    owner.started(hop)
+                    if parser.long():
+                        if not (passing := owner.pass_on(hop, parser)):
+                            raise Malformed(502, "answer too large to be held")
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, UNMOVED)
                 if passing and not client.more(parser.taken(), False):
                     return Outcome.CANCELLED, None, False
         finally:
-            self.pool.held.give(held)
             if passing:
                 client.cut()
 
 
-def request(hop: Hop) -> bytes:
+def request(hop: Hop, where: Address) -> bytes:
     exchange = hop.exchange
     left = max(1, (exchange.until - clock.now()) // 1000)
     came = exchange.request
+    upload = exchange.upload
+    if upload is not None:
+        left = max(1, exchange.patience // 1000)
     headers = [(name, value) for name, value in came.passed_on() if name.lower() != DEADLINE]
-    return writing.request(came.method, came.target, [*headers, (DEADLINE, str(left))], came.body)
+    if not came.all("host"):
+        headers.insert(0, ("Host", f"{where.host}:{where.port}"))  # HTTP/1.0 needs none, HTTP/1.1 does
+    return writing.request(came.method, came.target, [*headers, (DEADLINE, str(left))], came.body,
+                           upload.length if upload is not None else writing.WHOLE)
 
 
 def outcome_of(response: Response) -> Outcome:
@@ -173,26 +207,6 @@
     return Outcome.ERROR
 
 
-class Budget:
-    """Memory for answers that are held until they are whole, so that a broken one can be had elsewhere."""
-
-    def __init__(self, size: int) -> None:
-        self.left = size
-        self.gate = threading.Lock()
-
-    def take(self, size: int) -> bool:
-        with self.gate:
-            if size > self.left:
-                return False
-            self.left -= size
-        return True
-
-    def give(self, size: int) -> None:
-        if size:
-            with self.gate:
-                self.left += size
-
-
 class Rests:
     """How often a hop is reset that is the first after a rest of its connection, by how long that was.
 
@@ -234,7 +248,6 @@
         self.barred: set[int] = set()  # servers out by hand
         self.spoilt: Counter[str] = Counter()
         self.rests = Rests()
-        self.held = Budget(config.held)
 
     def adopt(self, config: Config) -> None:
         """Go by other settings from now on."""
--- a/pumicepath/sidecar/succession.py
+++ b/pumicepath/sidecar/succession.py
@@ -91,11 +91,19 @@
     line: Line
     listener: socket.socket | None
     known: Any
-    by_hand: set[int]
+    by_hand: dict[int, int]
     returned: dict[int, int]
     emptied: bool
 
 
+def put(times: dict[int, int]) -> list[list[int]]:
+    return [[server, clock.to_monotonic(then)] for server, then in sorted(times.items())]
+
+
+def got(times: list[list[int]]) -> dict[int, int]:
+    return {int(server): clock.since_monotonic(int(then)) for server, then in times}
+
+
 def place() -> Path | None:
     folder = os.environ.get("TMPDIR", "")
     return Path(folder) / NAME if folder else None
@@ -134,10 +142,9 @@
         told, descriptors = line.receive()
         if told.get("version") != VERSION:
             raise Broken(f"version {told.get('version')}")
-        returned = {int(server): clock.since_monotonic(int(then)) for server, then in told["returned"]}
         listener = socket.socket(fileno=descriptors.pop()) if descriptors else None
         sock.settimeout(None)
-        return Inherited(line, listener, told["known"], {int(server) for server in told["by_hand"]}, returned,
+        return Inherited(line, listener, told["known"], got(told["by_hand"]), got(told["returned"]),
                          bool(told["emptied"]))
     except (OSError, Broken, ValueError, TypeError, KeyError):
         for each in descriptors:
@@ -237,9 +244,8 @@
             self.lines[line] = None  # what is changed from now on is told behind this, and may be in it too
             by_hand, returned = dispatcher.handed()
             told = {
-                "version": VERSION, "known": self.known(), "by_hand": sorted(by_hand),
-                "emptied": dispatcher.emptied,
-                "returned": [[server, clock.to_monotonic(then)] for server, then in sorted(returned.items())]}
+                "version": VERSION, "known": self.known(), "emptied": dispatcher.emptied,
+                "by_hand": put(by_hand), "returned": put(returned)}
             same = message.get("listen") == self.listen
             line.send(told, (self.clients.listener.fileno(),) if same else ())
 
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,256 @@
+"""What is longer than memory: answers and bodies that go through as they come, with slow peers."""
+
+import hashlib
+import json
+import queue
+import random
+import socket
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from pumicepath.http1 import writing
+from pumicepath.http1.messages import Malformed
+from pumicepath.http1.parsing import RequestParser, ResponseParser
+from pumicepath.interface import Effect, Outcome, Tariff
+from pumicepath.lab.loopback.scripted import Deployment, Peer, answer, next_of
+from pumicepath.logic import Submission
+from pumicepath.sidecar import upload
+
+from .helpers import ONCE, SECOND, Bench, check, compare, entry, settings
+
+LONG = random.Random(5).randbytes(6_000_000)
+
+
+def chunked(data: bytes, size: int, ending: bytes = b"0\r\n\r\n") -> bytes:
+    parts = [data[at:at + size] for at in range(0, len(data), size)]
+    return b"".join(b"%x;note=1\r\n%b\r\n" % (len(part), part) for part in parts) + ending
+
+
+def digest(data: bytes) -> str:
+    return f"{len(data)} bytes {hashlib.sha256(data).hexdigest()[:12]}"
+
+
+def read_all(sock: socket.socket, parser: ResponseParser, pause: float = 0.0) -> str:
+    """The answer, read slowly if asked to; says whether its end came."""
+    while (message := parser.next()) is None:
+        try:
+            data = sock.recv(200_000 if pause else 65536)
+        except OSError:
+            return "reset"
+        time.sleep(pause)
+        for at in range(0, len(data), 65536):
+            parser.feed(data[at:at + 65536])
+            if (message := parser.next()) is not None:
+                return f"{message.status} {digest(message.body)}"
+        if not data:
+            parser.end()
+            message = parser.next()
+            return f"{message.status} {digest(message.body)} at close" if message else "its end is missing"
+    return f"{message.status} {digest(message.body)}"
+
+
+def test_long_answers_go_through_as_they_come_in_all_forms(tmp_path: Path) -> None:
+    head = b"HTTP/1.1 200 OK\r\n"
+    steps = {
+        "with a length": [answer(200, "x" * 3_000_000)],
+        "in chunks, with extensions and trailers": [
+            b"HTTP/1.1 100 Continue\r\n\r\n" + head + b"Transfer-Encoding: chunked\r\n\r\n"
+            + chunked(LONG, 70_001, b"0\r\nX-Sum: 1\r\n\r\n")],
+        "until the connection ends": [(head + b"Connection: close\r\n\r\n" + LONG, "end")],
+        "broken off": [(answer(200, "x" * 3_000_000)[:-9], "end")],
+        "of an error": [(b"HTTP/1.1 500 No\r\nContent-Length: 3000000\r\n\r\n" + LONG[:3_000_000], "end")],
+        "of more than any may have": [(head + b"Content-Length: 99999999\r\n\r\nabc", "wait")],
+    }
+    with Deployment(tmp_path, 2).running() as around:
+        for name, script in steps.items():
+            for step in script:
+                around.script.put(step)
+            with socket.create_connection(around.where) as sock:
+                around.send("once", method="GET", sock=sock)
+                around.lines.append(f"-- {name}: {read_all(sock, ResponseParser(9_000_000))}")
+        around.script.put((head + b"Connection: close\r\n\r\n" + LONG, "end"))
+        with socket.create_connection(around.where) as sock:
+            sock.sendall(b"GET /api HTTP/1.0\r\nX-Trace-Id: old\r\nX-Qos: once\r\n\r\n")
+            around.lines.append(f"-- to HTTP/1.0: {read_all(sock, ResponseParser(9_000_000))}")
+    compare("long_answers", [line for line in around.lines if line.startswith("--")])
+
+
+def test_what_the_server_still_gives_is_not_cut_when_patience_ends(tmp_path: Path) -> None:
+    going = threading.Event()
+
+    class Halting(Peer):
+        def serve(self, sock: socket.socket) -> None:
+            with sock:
+                sock.recv(9999)
+                data = answer(200, "x" * 3_000_000)
+                sock.sendall(data[:2_000_000])
+                self.met.release()
+                going.wait(10)
+                sock.sendall(data[2_000_000:])
+    around = Deployment(tmp_path, 0)
+    around.servers = [Halting("h", queue.SimpleQueue(), [])]
+    around.told["known"] = around.listing(1, True, "active")
+    around.config.write_text(json.dumps(around.told))
+    with around.running(), socket.create_connection(around.where) as sock:
+        around.send("read", expires=100, method="GET", sock=sock)
+        assert around.servers[0].met.acquire(timeout=5)
+        around.send("read", expires=300, method="GET")  # as long as this takes, the other's patience is over
+        around.hear()
+        going.set()
+        assert read_all(sock, ResponseParser(9_000_000)).startswith("200 3000000 bytes")
+
+
+class Reading(Peer):
+    """Reads bodies slowly, and answers with what it got."""
+
+    def serve(self, sock: socket.socket) -> None:
+        parser = RequestParser(9_000_000)
+        with sock:
+            while (request := next_of(sock, parser)) is not None:
+                self.lines.append(f"{request.header('X-Trace-Id')}: {digest(request.body)}")
+                self.met.release()
+                sock.sendall(answer(200, digest(request.body)))
+
+
+def test_long_bodies_go_through_in_all_forms_and_the_connection_is_kept(tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 0)
+    around.servers = [Reading("r", queue.SimpleQueue(), around.lines)]
+    around.told["known"] = around.listing(1, True, "active")
+    around.config.write_text(json.dumps(around.told))
+    headers = [("Host", "api"), ("X-Qos", "once"), ("X-Expires-In-Ms", "2000")]
+
+    def send(name: str, *more: tuple[str, str], body: bytes, length: int) -> None:
+        named = [*headers, ("X-Trace-Id", name), *more]
+        head = writing.request("POST", "http://api/up?x", named, b"", length)
+        around.client.sendall(head)
+        if more:
+            assert around.client.recv(99).startswith(b"HTTP/1.1 100")
+        for at in range(0, len(body), 300_000):
+            around.client.sendall(body[at:at + 300_000])
+        around.hear()
+
+    with around.running():
+        send("length", body=LONG, length=len(LONG))
+        send("chunks", body=chunked(LONG, 99_999), length=writing.CHUNKED)
+        send("awaited", ("Expect", "100-continue"), body=LONG, length=len(LONG))
+        send("short", body=b"lot", length=3)
+        begun = writing.request("POST", "/up", [*headers, ("X-Trace-Id", "cut")], b"", len(LONG))
+        with socket.create_connection(around.where) as sock:
+            sock.sendall(begun + LONG[:900_000])
+        around.client.sendall(begun.replace(b"cut", b"odd").replace(b"X-Qos: once", b"X-Qos: gold") + LONG)
+        around.hear()
+        send("after", body=b"", length=writing.WHOLE)
+    compare("long_bodies", around.lines)
+
+
+def test_a_server_that_breaks_off_in_a_body_never_ran_it_and_its_client_is_told(tmp_path: Path) -> None:
+    class Breaking(Peer):
+        def serve(self, sock: socket.socket) -> None:
+            sock.recv(100_000)
+            sock.close()
+    around = Deployment(tmp_path, 0)
+    around.servers = [Breaking(f"b-{at}", queue.SimpleQueue(), []) for at in range(2)]
+    around.told["known"] = around.listing(1, True, "active")
+    around.config.write_text(json.dumps(around.told))
+    with around.running():
+        headers = [("Host", "a"), ("X-Qos", "once"), ("X-Trace-Id", "1")]
+        head = writing.request("POST", "/up", headers, b"", len(LONG))
+        around.client.sendall(head + LONG)
+        assert around.hear().header("Retry-After")
+    compare("broken_body", around.lines)
+
+
+def test_more_at_once_than_memory_holds_with_slow_readers(tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 2, limits={"memory_mb": 48, "sockets": 256})
+    got: list[str] = []
+
+    def client(name: str) -> None:
+        with socket.create_connection(around.where) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            sock.sendall(writing.request("GET", "/api", [
+                ("Host", "api"), ("X-Trace-Id", name), ("X-Qos", "read"), ("X-Expires-In-Ms", "900")]))
+            got.append(read_all(sock, ResponseParser(9_000_000), 0.05))
+
+    with around.running():
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for _ in range(20):
+            around.script.put(head + chunked(LONG, 500_000))
+        threads = [threading.Thread(target=client, args=(f"c{at}",), daemon=True) for at in range(20)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        status = Path(f"/proc/{around.process.pid}/status").read_text()
+        peak = next(int(line.split()[1]) // 1024 for line in status.splitlines() if line.startswith("VmHWM"))
+    assert got == [f"200 {digest(LONG)}"] * 20
+    assert peak < 48, f"{peak} MB for 120 MB under way"
+
+
+def test_slow_clients_are_waited_for_at_the_lowest_rate_and_no_longer() -> None:
+    class Sender:
+        broken = False
+        sock, far = socket.socketpair()
+
+        def leave(self) -> None: ...
+    parser = RequestParser(upload.FAR)
+    parser.feed(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n")
+    assert parser.next() is None and parser.long()
+    body = upload.Upload(Sender(), parser)
+    Sender.far.sendall(b"x" * 4_800)
+    body.waited = upload.FIRST + 90_000  # of 100,000 that these bytes are worth
+    body.receive()
+    assert body.got == 4_800
+    Sender.far.sendall(b"x")
+    body.waited = upload.FIRST + 101_000
+    with pytest.raises(ConnectionAbortedError, match="too slow"):
+        body.receive()
+
+
+def test_patience_and_the_hop_begin_with_the_last_byte_and_no_second_hop_has_the_body() -> None:
+    bench = Bench(settings(Tariff(600_000, 2_500_000, 3.0, 0.0, Effect.IDEMPOTENT, ONCE.group, 0)),
+                  [entry(1), entry(2)])
+
+    def taken(name: int) -> Submission:
+        balancer, until = bench.balancer, bench.now + 900 * SECOND
+        return balancer.take_under(bench.now, name, balancer.terms[0], 1, False, until, True)
+
+    bench.note("a body comes for 20 s, and nothing is held against the server meanwhile")
+    one = taken(1)
+    bench.at(20)
+    one.spent = True
+    one.whole(bench.now, 0, bench.now + 2 * SECOND)
+    bench.at(20.3).end(one, Outcome.OK)
+    bench.note("a refused connection before a piece was let go: another hop")
+    two = taken(2)
+    bench.end(two, Outcome.CONNECT_FAILED)
+    bench.note("a break after that: none, and the client is told that it may try again")
+    two.spent = True
+    bench.end(two, Outcome.CONNECT_FAILED)
+    bench.note("after the last byte the server is judged as ever, and nothing goes again")
+    three = taken(3)
+    bench.at(21)
+    three.spent = True
+    three.whole(bench.now, 0, bench.now + 2 * SECOND)
+    bench.at(22).end(three, Outcome.RESET)
+    check("body_coming", bench)
+
+
+@pytest.mark.parametrize("head", [
+    b"Content-Length: 5\r\nContent-Length: 6", b"Content-Length: 5\r\nTransfer-Encoding: chunked",
+    b"Transfer-Encoding: chunked, chunked", b"Transfer-Encoding: gzip", b"Content-Length: +5",
+    b"Content-Length: 60000000", b"Transfer-Encoding: chunked\r\n\r\nfffffffff"])
+def test_forms_that_hide_or_never_end_are_refused(head: bytes) -> None:
+    parser = RequestParser(40 << 20)
+    parser.feed(b"POST /api HTTP/1.1\r\nHost: a\r\n" + head + b"\r\n\r\n")
+    with pytest.raises(Malformed):
+        parser.next()
+
+
+def test_absolute_targets_become_what_servers_are_asked_for() -> None:
+    parser = RequestParser()
+    for target in (b"HTTP://a:1/b/c?d=/e", b"http://a"):
+        parser.feed(b"GET " + target + b" HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert [parser.next().target for _ in range(2)] == ["/b/c?d=/e", "/"]
