--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -85,8 +85,10 @@
         def serve(self, sock: socket.socket) -> None:
             with sock:
                 sock.recv(9999)
-                data = answer(200, "x" * 3_000_000)
-                sock.sendall(data[:2_000_000])
+                data, first = answer(200, "x" * 3_000_000), not self.lines
+                self.lines.append("met")
+                if first:
+                    sock.sendall(data[:2_000_000])
                 self.met.release()
                 going.wait(10)
                 sock.sendall(data[2_000_000:])
