A file that takes the place of another lacks nothing that is read; times and hops above 0

Cause: settings.check took null for absent and 0 for a time, config.read gave defaults for parts that were missing, and nesting without end raised RecursionError, which nobody caught in the main thread. Change as designed: follow, present, TIME. Test: 33 files, each with its line.

--- a/pumicepath/lab/loopback/scripted.py
+++ b/pumicepath/lab/loopback/scripted.py
@@ -95,7 +95,8 @@
         self.told = {
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
             "limits": {"memory_mb": 192, "sockets": 1024}, "known": self.listing(1, True, "active"),
-            "settings": {"membershipMode": "on_request", "dcs": ["a"], "rules": {"askEveryS": 10.0},
+            "settings": {"membershipMode": "on_request", "dcs": ["a"], "me": 0, "fleetSize": 1, "zone": 0,
+                         "rules": {"askEveryS": 10.0, "coldFrom": 1.0, "coldS": 0.0},
                          "policyLimits": limits, "tariffs": tariffs}, **changed}
         self.config = folder / "config.json"
         self.config.write_text(json.dumps(self.told))
--- a/pumicepath/settings.py
+++ b/pumicepath/settings.py
@@ -54,6 +54,7 @@
 
 
 NUMBER = (0.0, 1e9)
+TIME = (1e-6, 1e9)
 SHARE = (0.0, 1.0)
 COUNT = (0, 1 << 31)
 # Each key that is read, with its range or its words; what is not named here is skipped, as the wire asks.
@@ -68,9 +69,13 @@
     "policyLimits.dialTimeoutS": NUMBER,
 }
 IN_TARIFF: dict[str, Any] = {
-    "agreedTimeS": NUMBER, "patienceS": NUMBER, "gain": NUMBER, "lateGain": NUMBER, "windowS": NUMBER,
+    "agreedTimeS": TIME, "patienceS": TIME, "gain": NUMBER, "lateGain": NUMBER, "windowS": NUMBER,
     "effect": tuple(EFFECTS), "group": tuple(GROUPS), "stream": bool,
 }
+# Null stands for nothing that these could mean.
+NEVER_NULL = ("agreedTimeS", "patienceS", "policyLimits.mostHops")
+# What a file need not have though the one before it had: optional on the wire.
+OPTIONAL = ("weights", "prices.connection", "policyLimits.mayTell", "stream")
 IN_TENANT: dict[str, Any] = {"quotaPerS": NUMBER}
 # What may be set and the platform of real sidecars has no way for, with the values that ask for nothing.
 IDLE_KEYS: dict[str, tuple] = {
@@ -85,7 +90,9 @@
         if not isinstance(info.get(part, {}), dict):
             raise ValueError(f"settings.{part} is no object")
     for key, allowed in KEYS.items():
-        check_one("settings." + key, found(info, key), allowed)
+        part, _, name = key.rpartition(".")
+        check_one("settings." + key, found(info, key), allowed,
+                  key in NEVER_NULL and name in (info.get(part) or {}))
     for part, keys in (("tariffs", IN_TARIFF), ("tenants", IN_TENANT)):
         names = []
         if not isinstance(info.get(part) or [], list):
@@ -94,7 +101,8 @@
             if not isinstance(entry, dict):
                 raise ValueError(f"settings.{part}[{at}] is no object")
             for key, allowed in keys.items():
-                check_one(f"settings.{part}[{at}].{key}", entry.get(key), allowed)
+                check_one(f"settings.{part}[{at}].{key}", entry.get(key), allowed,
+                          key in NEVER_NULL and key in entry)
             names.append(str(entry.get("name", at)))
         if len(set(names)) < len(names):
             raise ValueError(f"settings.{part}: one name twice")
@@ -109,8 +117,18 @@
     return (info.get(part) or {}).get(name) if part else info.get(name)
 
 
-def check_one(key: str, value: Any, allowed: Any) -> None:
-    if value is None:
+def present(info: dict[str, Any]) -> frozenset[str]:
+    """The keys that are read and are there, of tariffs those that all of them have, but for optional ones."""
+    read = ("dcs", *(key for key in KEYS if key not in OPTIONAL))
+    keys = {"settings." + key for key in read if found(info, key) is not None}
+    for key in IN_TARIFF:
+        if key not in OPTIONAL and all(entry.get(key) is not None for entry in info.get("tariffs") or []):
+            keys.add(f"settings.tariffs[].{key}")
+    return frozenset(keys)
+
+
+def check_one(key: str, value: Any, allowed: Any, needed: bool = False) -> None:
+    if value is None and not needed:
         return
     if allowed is bool:
         fits = isinstance(value, bool)
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -10,11 +10,12 @@
 
 from ..discovery.roster import Address, BadList, Roster, address
 from ..interface import Settings
-from ..settings import check, decode, without_effect
+from ..settings import check, decode, present, without_effect
 
 KEPT_BACK = 48              # descriptors for the listener, discovery, files, and clients beyond the bound
 OWN_MB = 24                 # memory before the first connection, with room for the list
 SPARE_PART = 1 / 16         # of the memory for the allocator and what grows
+EXPECTED = ("name", "seed", "limits", "listen", "discovery")
 CONNECTION_KB = 140         # a connection with its thread and full bodies both ways: 132 measured
 
 
@@ -38,6 +39,7 @@
     dial: int
     idle_keys: tuple[str, ...]
     admin: Address | None = None
+    keys: frozenset[str] = frozenset()
 
     @property
     def from_clients(self) -> int:
@@ -48,6 +50,18 @@
         return self.connections - self.from_clients
 
 
+def follow(path: str, before: Config) -> Config:
+    """The file that takes the place of another.
+
+    Guards what is in force against a file with a part missing, whose defaults nobody meant.
+    """
+    after = read(path)
+    missing = sorted(before.keys - after.keys)
+    if missing:
+        raise BadConfig(f"{path}: {missing[0]} is missing")
+    return after
+
+
 def read(path: str) -> Config:
     try:
         return config(json.loads(Path(path).read_bytes()))
@@ -55,6 +69,8 @@
         raise BadConfig(f"{path}: {trouble.strerror}") from trouble
     except KeyError as trouble:
         raise BadConfig(f"{path}: {trouble} is missing") from trouble
+    except RecursionError as trouble:
+        raise BadConfig(f"{path}: nested too deeply") from trouble
     except (ValueError, TypeError, AttributeError, ArithmeticError, BadList) as trouble:
         raise BadConfig(f"{path}: {trouble}".replace("\n", " ")) from trouble
 
@@ -95,4 +111,5 @@
         dial=int(allowed.get("dialTimeoutS", 1.0) * 1e6),
         idle_keys=tuple(without_effect(info)),
         admin=second(told),
+        keys=present(info) | {key for key in EXPECTED if key in told},
     )
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -118,7 +118,7 @@
 def reload(config: Config, path: str, dispatcher: Dispatcher, watcher: Watcher, log: Log) -> Config:
     """Read the file again and go by it, whole or not at all; what is fixed while it runs is named."""
     try:
-        new = settings.read(path)
+        new = settings.follow(path, config)
     except BadConfig as trouble:
         dispatcher.invalid += 1
         log.event("reload_failed", text=str(trouble))
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -15,6 +15,7 @@
 from pumicepath.http1.parsing import RequestParser, ResponseParser
 from pumicepath.lab.loopback.scripted import Deployment, Peer, answer, next_of
 from pumicepath.settings import check
+from pumicepath.sidecar import config
 
 from .helpers import compare
 
@@ -24,7 +25,8 @@
     tariffs = [{"name": name, "effect": effect, "gain": 1.0, "agreedTimeS": 0.2, "patienceS": 2.0}
                for name, effect in (
                    ("sign", "at_most_once"), ("once", "at_most_once"), ("view", "idempotent"))]
-    limits = {"mostHops": 3, "connIdleS": 10.0, "dialTimeoutS": 0.1, "retryAfter": True, "mayTell": True}
+    limits = {"mostHops": 3, "connIdleS": 10.0, "dialTimeoutS": 0.1, "retryAfter": True, "mayTell": True,
+              "maxRetryAfterS": 2.0}
     return {**told, "settings": {
         "membershipMode": "pushed", "weights": "live", "dcs": ["b", "a"], "zone": 1, "me": 3, "fleetSize": 50,
         "prices": {"connection": 0.03}, "tenants": [{"name": "x", "quotaPerS": 90.0}], "tariffs": tariffs,
@@ -121,8 +123,50 @@
     ({"dcs": ["a"], "zone": 1}, "settings.zone: 1 is none of 1 dcs"),
     ({"tariffs": [{"name": "a"}, {"name": "a"}]}, "settings.tariffs: one name twice"),
     ({"tariffs": [{"effect": "often"}]}, "settings.tariffs[0].effect: 'often' is not"),
+    ({"tariffs": [{"patienceS": 0}]}, "settings.tariffs[0].patienceS: 0 is not from"),
+    ({"tariffs": [{"patienceS": None}]}, "settings.tariffs[0].patienceS: None is not from"),
+    ({"tariffs": [{"agreedTimeS": "0.3"}]}, "settings.tariffs[0].agreedTimeS: '0.3' is not from"),
+    ({"tariffs": [{"agreedTimeS": math.nan}]}, "settings.tariffs[0].agreedTimeS: nan is not from"),
+    ({"tariffs": [{"patienceS": True}]}, "settings.tariffs[0].patienceS: True is not from"),
+    ({"policyLimits": {"mostHops": None}}, "settings.policyLimits.mostHops: None is not from"),
+    ({"policyLimits": {"mostHops": 0}}, "settings.policyLimits.mostHops: 0 is not from"),
+    ({"policyLimits": {"mostHops": 2.5}}, "settings.policyLimits.mostHops: 2.5 is not from"),
+    ({"policyLimits": {"mostHops": -1}}, "settings.policyLimits.mostHops: -1 is not from"),
 ])
 def test_settings_that_cannot_be_meant_are_named_by_their_key(settings: dict, says: str) -> None:
     with pytest.raises(ValueError, match="^settings") as trouble:
         check(settings)
     assert str(trouble.value).startswith(says)
+
+
+def test_a_file_that_takes_the_place_of_another_lacks_nothing_that_is_read(tmp_path: Path) -> None:
+    around, lines = Deployment(tmp_path, 1), []
+    before, text = config.read(str(around.config)), json.dumps(around.told)
+
+    def said(what: str, data: str) -> None:
+        around.config.write_text(data)
+        try:
+            config.follow(str(around.config), before)
+            lines.append(f"{what}: taken")
+        except config.BadConfig as trouble:
+            lines.append(f"{what}: {str(trouble).replace(str(around.config), 'FILE')[:70]}")
+
+    said("the same", text)
+    said("empty", "")
+    said("cut short", text[:-40])
+    said("nested without end", "[" * 100_000)
+    said("no object", "[1]")
+    for key in around.told:
+        rest = {name: value for name, value in around.told.items() if name != key}
+        said(f"without {key}", json.dumps(rest))
+    for key in around.told["settings"]:
+        rest = {**around.told, "settings": {**around.told["settings"]}}
+        del rest["settings"][key]
+        said(f"without settings.{key}", json.dumps(rest))
+    for part, at in (("policyLimits", None), ("rules", None), ("tariffs", 1)):
+        whole = around.told["settings"][part] if at is None else around.told["settings"][part][at]
+        for key in list(whole):
+            value = whole.pop(key)
+            said(f"without {part}.{key}", json.dumps(around.told))
+            whole[key] = value
+    compare("lacking", lines)
