Servers that the list drops without draining stay in use by steps, as far as they answer

Cause: listed and Pool.listed took being gone at its word, so a list that calls all gone stopped the service. Covers beside wrong lists: old lists that come again (what drained stays bound). Harm: a server that is really gone gets trials until half a minute without an answer has passed.

--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -103,6 +103,7 @@
     fall_window: int
     live: bool = False                  # whether a listed scale falls with what the server holds
     connection_price: float = 0.0       # for each open connection of a server, over 100
+    drain_alone: bool = False           # whether only draining binds, and not being gone from the list
     may_tell: bool = False              # whether sidecars may send each other messages
     quotas: tuple[float, ...] = ()      # submissions a second of each tenant, at all sidecars together
 
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -59,6 +59,10 @@
 REST_HELD = 15_000_000      # how long connections are freed for it, until that is tried anew
 PEERS = 6                   # other sidecars that are told of it, and
 TELL_EVERY = 1_000_000      # how often at most
+HELD_STEP = 1_000_000        # between two steps of a server that the list has dropped, or has again, and
+HELD_LEAST = 1 / 16          # the part of its weight at which they end
+HELD_LONGEST = 30_000_000    # without an answer, until a dropped server is gone
+MOST_DRAINED = 4096          # servers of which it is kept that they have drained
 MOST_BY_HAND = 1000          # servers out by hand at once
 VERSION = 1                 # of the messages: this, then how often each length was used, how often in vain
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -355,6 +359,7 @@
         self.ready: list[int] = []
         self.near: list[int] = []  # those of them that this sidecar uses
         self.by_hand: dict[int, int] = {}  # ids that operators have taken out, and since when
+        self.drained: dict[int, int] = {}  # the starts of servers that drain, where that alone binds
         self.returned: dict[int, int] = {}  # when those came back that may still be cold
         self.settling: Settling | None = None
         self.quota = 0.0
@@ -369,6 +374,10 @@
         self.trials: list[int] = []
         # What this sidecar has seen.
         self.out: list[list[Hop]] = []
+        self.dropped: list[int] = []  # since when the list lacks a server that is still used, 0 if it has it
+        self.held: list[float] = []  # the part of its weight that counts, since when, and its last answer
+        self.held_at: list[int] = []
+        self.heard: list[int] = []
         self.rested: list[int] = []  # since when the connections to a server rest, 0 if there are none
         self.rests = Rests()
         self.told_at = self.ignored = 0
@@ -425,10 +434,15 @@
             named = {entry.server for entry in entries}
             for server, at in self.index.items():
                 if server not in named:
-                    self.phase[at] = Phase.GONE
+                    self.drop(now, at)
         for entry in entries:
             at = self.index.get(entry.server, -1)
-            if at >= 0 and (entry.phase, entry.came_up, entry.zone, entry.cell) == (
+            if self.settings.drain_alone:
+                entry = self.as_told(now, entry)
+            if at >= 0 and entry.phase == Phase.GONE:
+                self.drop(now, at)
+                changed = True
+            elif at >= 0 and (entry.phase, entry.came_up, entry.zone, entry.cell) == (
                     self.phase[at], self.told_up[at], self.zone[at], self.cell[at]):
                 self.weigh(at, entry)  # all that a renewal of live scales costs
             elif entry.phase != Phase.GONE or at >= 0:
@@ -439,6 +453,41 @@
                 self.forget(at)
             self.choose_ready()
 
+    def as_told(self, now: int, entry: Entry) -> Entry:
+        """Where only draining binds: what has drained stays bound, whatever an old list that returns says."""
+        if entry.phase == Phase.DRAINING:
+            self.drained[entry.server] = max(entry.came_up, self.drained.pop(entry.server, 0))
+            if len(self.drained) > MOST_DRAINED:
+                del self.drained[next(iter(self.drained))]
+        elif entry.phase == Phase.READY:
+            if entry.came_up <= self.drained.get(entry.server, -1):
+                return entry._replace(phase=Phase.DRAINING)
+            at = self.index.get(entry.server, -1)
+            if at >= 0 and self.dropped[at]:
+                self.dropped[at], self.held_at[at] = 0, now
+        return entry
+
+    def drop(self, now: int, at: int) -> None:
+        """The list no longer has a server.  Where only draining binds that proves nothing: it stays in use.
+
+        Guards against lists that call servers gone that serve.  It costs trials of servers that are gone.
+        """
+        if not self.settings.drain_alone or self.phase[at] != Phase.READY:
+            self.phase[at] = Phase.GONE
+        elif not self.dropped[at]:
+            self.dropped[at] = self.held_at[at] = now
+        elif now - max(self.dropped[at], self.heard[at]) > HELD_LONGEST:
+            self.phase[at] = Phase.GONE
+
+    def part_held(self, now: int, at: int) -> float:
+        """The part of its weight that counts of a server that the list dropped, or has again: by steps."""
+        since = self.held_at[at]
+        if now - since >= HELD_STEP and (self.dropped[at] or self.held[at] < 1.0):
+            self.held_at[at] = now
+            up = not self.dropped[at] or self.heard[at] >= since
+            self.held[at] = min(1.0, 2 * self.held[at]) if up else max(HELD_LEAST, self.held[at] / 2)
+        return self.held[at]
+
     def choose_ready(self) -> None:
         self.ready = [at for at, phase in enumerate(self.phase)
                       if phase == Phase.READY and self.ids[at] not in self.by_hand]
@@ -570,9 +619,10 @@
                 at = len(self.ids)
                 for column in (self.ids, self.salt, self.zone, self.cell, self.state, self.fails, self.since,
                                self.generation, self.trials, self.lag_at, self.came_up, self.told_up,
-                               self.cooldown, self.tokens_at, self.rested):
+                               self.cooldown, self.tokens_at, self.rested, self.dropped, self.held_at,
+                               self.heard):
                     column.append(0)
-                for shares in (self.scale, self.tokens, self.ill, self.queued, self.lag):
+                for shares in (self.scale, self.tokens, self.ill, self.queued, self.lag, self.held):
                     shares.append(0.0)
                 self.phase.append(Phase.GONE)
                 self.names.append("")
@@ -585,6 +635,7 @@
             self.salt[at] = mix(entry.server + 1)
             self.since[at] = self.lag_at[at] = self.rested[at] = 0
             self.scale[at] = self.queued[at] = 0.0
+            self.dropped[at], self.held[at] = 0, 1.0
             # Each sidecar begins elsewhere: guards a fresh server against all first hops coming together.
             self.tokens[at] = (self.place + self.salt[at] / MASK) % 1.0
             self.late[at] = False
@@ -788,7 +839,7 @@
             if self.came_up[at] and self.warmth(now, at) < 1.0:
                 cold.append(at)
                 continue
-            weight = self.scale[at]
+            weight = self.scale[at] * self.part_held(now, at)
             if self.zone[at] != self.settings.zone:
                 weight *= foreign
             order.append((draw / weight, at))
@@ -983,6 +1034,7 @@
         if hop.begun:
             self.verdict(now, hop, outcome in (Outcome.ERROR, Outcome.RESET), "broken stream")
         elif outcome == Outcome.OK:
+            self.heard[hop.server] = now
             self.answered(now, terms, hop, spent)
         elif outcome == Outcome.TIMEOUT and spent >= terms.agreed:
             self.overdue(now, terms, hop)
--- a/pumicepath/settings.py
+++ b/pumicepath/settings.py
@@ -32,6 +32,7 @@
         fall_window=math.ceil(rules.get("overloadForS", 1.0) * 1e6),
         live=info.get("weights") == "live",
         connection_price=info.get("prices", {}).get("connection", 0.0),
+        drain_alone=bool(rules.get("drainBindsAlone", False)),
         may_tell=bool(limits.get("mayTell", False)),
         quotas=tuple(float(entry.get("quotaPerS", 0.0)) for entry in info.get("tenants", [])),
     )
@@ -65,6 +66,7 @@
     "rules.askEveryS": NUMBER, "rules.coldFrom": SHARE, "rules.coldS": NUMBER, "rules.fallMultiple": NUMBER,
     "rules.overloadForS": NUMBER, "policyLimits.mostHops": (1, 1 << 31),
     "policyLimits.maxRetryAfterS": NUMBER,
+    "rules.drainBindsAlone": bool,
     "policyLimits.retryAfter": bool, "policyLimits.mayTell": bool, "policyLimits.connIdleS": NUMBER,
     "policyLimits.dialTimeoutS": NUMBER,
 }
@@ -75,7 +77,7 @@
 # Null stands for nothing that these could mean.
 NEVER_NULL = ("agreedTimeS", "patienceS", "policyLimits.mostHops")
 # What a file need not have though the one before it had: optional on the wire.
-OPTIONAL = ("weights", "prices.connection", "policyLimits.mayTell", "stream")
+OPTIONAL = ("rules.drainBindsAlone", "weights", "prices.connection", "policyLimits.mayTell", "stream")
 IN_TENANT: dict[str, Any] = {"quotaPerS": NUMBER}
 # What may be set and the platform of real sidecars has no way for, with the values that ask for nothing.
 IDLE_KEYS: dict[str, tuple] = {
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -362,9 +362,12 @@
 
     def listed(self, kind: Listing, update: Update) -> None:
         def call(now: int) -> None:
+            alone = self.balancer.settings.drain_alone
             if kind != Listing.FAILED:
-                self.pool.listed(update)
+                self.pool.listed(update, alone)
             self.balancer.listed(now, kind, update.entries)
+            if alone:
+                self.pool.prune(self.balancer.index)
         self.decide(call)
 
     # -- the outlet of the balancer, called under the lock
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -6,7 +6,7 @@
 import struct
 import threading
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -272,14 +272,23 @@
         else:
             self.barred.discard(server)
 
-    def listed(self, update: Update) -> None:
-        """Forget servers that want nothing new, and the connections to processes that have ended."""
-        origins = {} if update.whole else dict(self.origins)
+    def listed(self, update: Update, drain_alone: bool = False) -> None:
+        """Forget servers that want nothing new, and the connections to processes that have ended.
+
+        Where only draining binds those that the list drops are kept, until `prune` says which are used.
+        """
+        origins = {} if update.whole and not drain_alone else dict(self.origins)
         for entry, where in zip(update.entries, update.addresses):
-            if entry.phase != Phase.READY:
+            if entry.phase == Phase.DRAINING or entry.phase == Phase.GONE and not drain_alone:
                 origins.pop(entry.server, None)
-            else:
+            elif entry.phase == Phase.READY:
                 origins[entry.server] = Origin(where, entry.came_up)
+        self.replace(origins)
+
+    def prune(self, used: Container[int]) -> None:
+        self.replace({server: origin for server, origin in self.origins.items() if server in used})
+
+    def replace(self, origins: dict[int, Origin]) -> None:
         before, self.origins = self.origins, origins
         for server, origin in before.items():
             if origins.get(server) != origin:
