Full servers turn away at once only where weights are live, as before; the try is written down

Cause: the suite found it, not the benches: after one submission whose two hops found servers full (or draining, which answers alike) a sidecar with few others turned the next ones away (test_answers_follow_the_table_of_outcomes, test_figures_are_what_clients_and_servers_saw).

--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -737,8 +737,9 @@
 
     def turned_away(self, now: int, one: Submission) -> bool:
         """Close to the limit of what may be out, submissions are turned away by chance, cheap ones sooner."""
-        self.full *= math.exp((self.full_at - now) / FULL_MEMORY)
-        self.full_at = now
+        if self.settings.live:
+            self.full *= math.exp((self.full_at - now) / FULL_MEMORY)
+            self.full_at = now
         if self.room == math.inf and self.full <= FULL_PART:
             return False
         values = [terms.tariff.gain / terms.usual for terms in self.terms]
@@ -747,12 +748,13 @@
         if one.retry:
             # Guards the room against submissions that come back when most of their agreed time has passed.
             value *= RETRY_PART
-        if one.until - now < one.terms.usual:
-            value *= HASTY_PART
-        if self.chance.share() < min(0.97, FULL_GAIN * (self.full - FULL_PART) / value):
-            return True
-        if self.room == math.inf:
-            return False
+        if self.settings.live:
+            if one.until - now < one.terms.usual:
+                value *= HASTY_PART
+            if self.chance.share() < min(0.97, FULL_GAIN * (self.full - FULL_PART) / value):
+                return True
+            if self.room == math.inf:
+                return False
         load = (min(self.level_now(now), self.all_in_flight) + one.terms.usual / self.span) / self.room
         return self.chance.share() < (load - 1.0) / 0.25 + min(4.0, 1.0 / value)
 
