--- a/pumicepath/sidecar/answers.py
+++ b/pumicepath/sidecar/answers.py
@@ -19,7 +19,8 @@
 
 FORFEITED = plain(502, "forfeited")
 READY = plain(200, "ready")
-NOT_READY = plain(503, "no list yet")
+NOT_READY = plain(503, "no server known that may be used")
+SENT_AWAY = plain(503, "clients are sent away")
 
 
 def deferred(retry_in: int) -> Answer:
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -223,8 +223,10 @@
         self.keep = request.keeps() and not self.last
         self.head = request.method == "HEAD"
         if request.target == "/up" and request.method in ("GET", "HEAD"):
-            ready = dispatcher.balancer.ready and not dispatcher.leaving()
-            self.answer(answers.READY if ready else answers.NOT_READY, not dispatcher.leaving())
+            if dispatcher.leaving():
+                self.answer(answers.SENT_AWAY, False)
+            else:
+                self.answer(answers.READY if dispatcher.balancer.ready else answers.NOT_READY, True)
             return None
         config, terms = dispatcher.serving
         name = request.header(TARIFF)
