Membership among sidecars: probes, suspicion, joining, behind `peers` in the file

Need: the operators' on-call asks how processes act together when parts fail; sidecars on sockets knew nothing of each other. Change: `fleet/` (pure: messages by msgspec, roll, news, membership after SWIM and Lifeguard), `sidecar/peers.py` (one UDP socket, one thread), `peers` and `GW_PEERS_*` checked as all else, figures in /stats, GET /peers and `pumicepath peers ADDRESS`. Without `peers` nothing is imported, opened or started. A record is of one life of a process, so that a restart needs no stored incarnation.

--- a/pumicepath/admin/calls.py
+++ b/pumicepath/admin/calls.py
@@ -12,6 +12,7 @@
 class Call(Enum):
     CHECK = "check"
     STATS = "stats"
+    PEERS = "peers"
     OUT = "maint"
     IN = "ready"
     FAIL = "fail"
@@ -24,7 +25,8 @@
 
 
 # By path; what stands there is changed by PUT, and read by GET or HEAD.
-READ: dict[tuple[str, ...], Call] = {("healthcheck",): Call.CHECK, ("stats",): Call.STATS}
+READ: dict[tuple[str, ...], Call] = {("healthcheck",): Call.CHECK, ("stats",): Call.STATS,
+                                     ("peers",): Call.PEERS}
 CHANGE: dict[tuple[str, ...], Call] = {("healthcheck", "fail"): Call.FAIL, ("healthcheck", "ok"): Call.OK}
 SERVER = {"maint": Call.OUT, "ready": Call.IN}
 
--- /dev/null
+++ b/pumicepath/fleet/settings.py
@@ -0,0 +1,92 @@
+"""What the file says of peers: `decode` gives the settings, or raises ValueError that names the key.
+
+Times are whole microseconds.  Without the key `peers` there are no settings, and nothing is made of them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+LONGEST_NAME = 64           # bytes of names in messages
+MOST_SEEDS = 16
+TIMEOUT_PART = 0.3          # of the period, where the file has no time-out
+KEYS = ("listen", "seeds", "advertise", "fleet", "everyS", "timeoutS", "most")
+ENVIRONMENT = {"listen": "GW_PEERS_LISTEN", "seeds": "GW_PEERS_SEEDS", "advertise": "GW_PEERS_ADVERTISE"}
+RANGES = {"everyS": (0.05, 60.0), "timeoutS": (0.01, 30.0), "most": (1, 20_000)}
+
+
+@dataclass(frozen=True)
+class PeerSettings:
+    """`listen` and `advertise` are host:port; others reach this one at `advertise`, if it is set.
+
+    `every` is the time between two probes, `timeout` until a direct one counts as unanswered, `most` how many
+    other sidecars are kept at once, `fleet` the name that sidecars share whose messages are taken.
+    """
+
+    listen: str
+    seeds: tuple[str, ...] = ()
+    advertise: str = ""
+    fleet: str = ""
+    every: int = 1_000_000
+    timeout: int = 300_000
+    most: int = 4096
+
+
+def decode(told: Any, environment: Mapping[str, str]) -> PeerSettings | None:
+    """The settings, or None where neither the file nor the environment speaks of peers."""
+    if told is not None and not isinstance(told, dict):
+        raise ValueError("peers is no object")
+    given: dict[str, Any] = dict(told or {})
+    for key, name in ENVIRONMENT.items():
+        if environment.get(name):
+            parts = [each.strip() for each in environment[name].split(",")]
+            given[key] = [each for each in parts if each] if key == "seeds" else parts[0]
+    if told is None and "listen" not in given:
+        return None
+    for key in given:
+        if key not in KEYS:
+            raise ValueError(f"peers.{key}: unknown; there are {', '.join(KEYS)}")
+    if "listen" not in given:
+        raise ValueError("peers.listen is missing")
+    seeds = given.get("seeds", [])
+    if not isinstance(seeds, list) or len(seeds) > MOST_SEEDS:
+        raise ValueError(f"peers.seeds is no list of at most {MOST_SEEDS} addresses")
+    for at, seed in enumerate(seeds):
+        reachable(f"peers.seeds[{at}]", seed)
+    listen = checked("peers.listen", given["listen"])
+    advertise = reachable("peers.advertise", given["advertise"]) if given.get("advertise") else ""
+    if listen.startswith("0.0.0.0:") and not advertise:
+        raise ValueError("peers.advertise is missing: nobody can be reached at 0.0.0.0")
+    fleet = given.get("fleet", "")
+    if not isinstance(fleet, str) or len(fleet.encode()) > LONGEST_NAME:
+        raise ValueError(f"peers.fleet: {fleet!r} is no name of at most {LONGEST_NAME} bytes")
+    for key, (least, most) in RANGES.items():
+        value = given.get(key, least)
+        if isinstance(value, bool) or not isinstance(value, type(least) if key == "most" else (int, float)) \
+                or not least <= value <= most:
+            raise ValueError(f"peers.{key}: {value!r} is not from {least} to {most}")
+    every = float(given.get("everyS", 1.0))
+    timeout = float(given.get("timeoutS", every * TIMEOUT_PART))
+    if 2 * timeout > every:
+        raise ValueError(f"peers.timeoutS: {timeout:g} is over half of everyS: no time is left to ask others")
+    return PeerSettings(listen, tuple(seeds), advertise, fleet, round(every * 1e6), round(timeout * 1e6),
+                        given.get("most", PeerSettings.most))
+
+
+def checked(key: str, text: Any) -> str:
+    """An address by numbers: names are not looked up, as that may take longer than a probe."""
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    parts = host.split(".")
+    if len(parts) != 4 or not all(part.isascii() and part.isdigit() and int(part) < 256 for part in parts) \
+            or not (port.isascii() and port.isdigit() and int(port) < 65536):
+        raise ValueError(f"{key}: {text!r} is no IPv4 address with a port")
+    return str(text)
+
+
+def reachable(key: str, text: Any) -> str:
+    """An address that something can be sent to."""
+    if checked(key, text).endswith(":0"):
+        raise ValueError(f"{key}: {text!r} names no port")
+    return str(text)
--- /dev/null
+++ b/pumicepath/lab/virtual/peers.py
@@ -0,0 +1,149 @@
+"""Sidecars' membership in virtual time: the real decisions and the real datagrams, on links of the model's.
+
+`Peering` starts, kills and stops members by number; `views()` says what each running one sees.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from ...fleet import messages
+from ...fleet.membership import Membership
+from ...fleet.messages import STATES, Record
+from ...fleet.settings import PeerSettings
+from ..model.links import Links
+from ..model.timeline import Timeline, chance
+from ..model.views import wrong
+
+SEEDS = 3
+QUEUE = 200                 # datagrams that a stopped one's socket holds
+
+
+def address(number: int) -> str:
+    return f"127.{1 + (number >> 16)}.{number >> 8 & 255}.{number & 255}:7946"
+
+
+class Node:
+    """One sidecar's part of the fleet; `starts` counts its lives."""
+
+    def __init__(self, peering: Peering, number: int) -> None:
+        self.peering = peering
+        self.number = number
+        self.name = f"sidecar-{number}"
+        self.address = address(number)
+        self.starts = 0
+        self.membership: Membership | None = None
+        self.stopped = False
+        self.queue: list[tuple[str, bytes]] = []
+        self.wake_at = -1
+
+    def start(self) -> None:
+        peering = self.peering
+        self.starts += 1
+        own = chance(peering.seed, "peer", self.number, self.starts)
+        seeds = tuple(address(each) for each in peering.seeds if each != self.number)
+        settings = PeerSettings(self.address, seeds, every=peering.every, timeout=peering.timeout,
+                                most=peering.most)
+        me = Record(self.name, own.getrandbits(62) | 1, self.address, "a")
+        self.membership = Membership(me, settings, own.getrandbits(63), self, self.clock())
+        self.wake()
+
+    def clock(self) -> int:
+        return self.peering.timeline.now + 86_400_000_000
+
+    def post(self, address: str, message: messages.Any) -> None:
+        self.peering.send(self, address, messages.packed(message, 0))
+
+    def changed(self, record: Record, by: str) -> None:
+        self.peering.changed(self, record)
+
+    def twice(self, record: Record) -> None:
+        self.peering.counts["name twice"] += 1
+
+    def came(self, source: str, data: bytes) -> None:
+        if self.stopped:
+            if len(self.queue) < QUEUE:
+                self.queue.append((source, data))
+        elif self.membership is not None:
+            try:
+                message = messages.unpacked(data, 0)
+            except (messages.Foreign, messages.Noise):
+                self.peering.counts["noise"] += 1
+                return
+            self.membership.heard(self.clock(), source, message)
+            self.wake()
+
+    def wake(self) -> None:
+        """Have `woke` called when it is due, once."""
+        if self.membership is None:
+            return
+        due = self.membership.due() - 86_400_000_000
+        if self.wake_at < 0 or due < self.wake_at:
+            self.wake_at = due
+            self.peering.timeline.at(due, self.woke, self.starts, due)
+
+    def woke(self, starts: int, due: int) -> None:
+        if starts != self.starts or due != self.wake_at or self.membership is None:
+            return
+        self.wake_at = -1
+        if not self.stopped:
+            self.membership.woke(self.clock())
+            self.wake()
+
+    def go_on(self) -> None:
+        self.stopped = False
+        queue, self.queue = self.queue, []
+        for source, data in queue:
+            self.came(source, data)
+        if self.membership is not None:
+            self.membership.woke(self.clock())
+            self.wake_at = -1
+            self.wake()
+
+
+class Peering:
+    def __init__(self, timeline: Timeline, links: Links, seed: int, count: int, every: int = 1_000_000,
+                 timeout: int = 300_000, most: int = 4096) -> None:
+        self.timeline = timeline
+        self.links = links
+        self.seed = seed
+        self.every, self.timeout, self.most = every, timeout, most
+        self.seeds = tuple(range(min(SEEDS, count)))
+        self.nodes = [Node(self, number) for number in range(count)]
+        self.by_address = {node.address: node for node in self.nodes}
+        self.counts: Counter[str] = Counter()
+
+    def send(self, node: Node, address: str, data: bytes) -> None:
+        other = self.by_address.get(address)
+        if other is not None:
+            self.links.carry(node.number, other.number, data, lambda data: other.came(node.address, data))
+
+    def changed(self, node: Node, record: Record) -> None:
+        what = STATES[record.state]
+        self.counts[what] += 1
+        other = self.by_address[record.address].membership
+        if what == "dead" and other is not None and other.me.born == record.born:
+            self.counts["false deaths"] += 1
+
+    def start(self, number: int) -> None:
+        self.nodes[number].start()
+
+    def kill(self, number: int) -> None:
+        node = self.nodes[number]
+        node.membership, node.stopped, node.queue, node.wake_at = None, False, [], -1
+
+    def stop(self, number: int) -> None:
+        self.nodes[number].stopped = True
+
+    def go_on(self, number: int) -> None:
+        if self.nodes[number].stopped:
+            self.nodes[number].go_on()
+
+    def views(self) -> dict[str, list[tuple[str, str]]]:
+        return {node.name: [(seen.name, STATES[seen.state]) for seen in node.membership.members(node.clock())]
+                for node in self.nodes if node.membership is not None}
+
+    def wrong(self) -> list[str]:
+        """Names of those whose view is not what is so."""
+        views = self.views()
+        return wrong(views, list(views))
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -9,13 +9,15 @@
 from typing import Any
 
 from ..discovery.roster import Address, BadList, Roster, address
+from ..fleet import settings as fleet
+from ..fleet.settings import PeerSettings
 from ..interface import Settings
 from ..settings import check, decode, present, without_effect
 
 KEPT_BACK = 48              # descriptors for the listener, discovery, files, and clients beyond the bound
 OWN_MB = 24                 # memory before the first connection, with room for the list
 SPARE_PART = 1 / 16         # of the memory for the allocator and what grows
-EXPECTED = ("name", "seed", "limits", "listen", "discovery")
+EXPECTED = ("name", "seed", "limits", "listen", "discovery", "peers")
 CONNECTION_KB = 140         # a connection with its thread and full bodies both ways: 132 measured
 
 
@@ -40,6 +42,7 @@
     idle_keys: tuple[str, ...]
     admin: Address | None = None
     keys: frozenset[str] = frozenset()
+    peers: PeerSettings | None = None
 
     @property
     def from_clients(self) -> int:
@@ -81,6 +84,14 @@
     return address(str(text)) if text else None
 
 
+def peers(told: dict[str, Any]) -> PeerSettings | None:
+    found = fleet.decode(told.get("peers"), os.environ)
+    name = str(told.get("name", ""))
+    if found is not None and not 0 < len(name.encode()) <= fleet.LONGEST_NAME:
+        raise ValueError(f"name: {name!r} is no name of 1 to {fleet.LONGEST_NAME} bytes, as peers need one")
+    return found
+
+
 def config(told: dict[str, Any]) -> Config:
     info = told["settings"]
     check(info)
@@ -112,4 +123,5 @@
         idle_keys=tuple(without_effect(info)),
         admin=second(told),
         keys=present(info) | {key for key in EXPECTED if key in told},
+        peers=peers(told),
     )
--- a/pumicepath/sidecar/operators.py
+++ b/pumicepath/sidecar/operators.py
@@ -6,6 +6,9 @@
 import struct
 import threading
 from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import orjson
 
 from ..admin.calls import Call, understood
 from ..discovery.roster import Address
@@ -18,6 +21,9 @@
 from .servers import start
 from .succession import Succession
 
+if TYPE_CHECKING:
+    from .peers import Peers
+
 MOST = 16                   # calls at once; one more takes the place of the oldest
 LONGEST = 5_000_000         # that a call may take to come whole
 LONGEST_WAIT = struct.pack("ll", 5, 0)
@@ -25,13 +31,15 @@
 DONE = answers.plain(200, "done")
 SERVING = answers.plain(200, "serving")
 NO_SERVER = answers.plain(404, "no such server")
+NO_PEERS = answers.plain(404, "no peers in the configuration")
 
 
 class Operators:
     """The listener for operators and the calls under way."""
 
     def __init__(self, where: Address, dispatcher: Dispatcher, clients: Clients,
-                 succession: Succession) -> None:
+                 succession: Succession, peers: Peers | None = None) -> None:
+        self.peers = peers
         self.dispatcher = dispatcher
         self.clients = clients
         self.succession = succession
@@ -124,6 +132,11 @@
                 return SERVING
             case Call.STATS:
                 return answers.plain(200, self.figures().rstrip("\n"))
+            case Call.PEERS:
+                if self.peers is None:
+                    return NO_PEERS
+                return answers.Answer(200, [("Content-Type", "application/json")],
+                                      orjson.dumps(self.peers.view(), option=orjson.OPT_APPEND_NEWLINE))
             case Call.OUT | Call.IN:
                 out = asked.call == Call.OUT
                 if not dispatcher.by_hand(asked.server, out):
@@ -139,4 +152,5 @@
         listed, avoided = dispatcher.standing()
         return dispatcher.figures.written(dispatcher.serving[0].tariffs, {
             "current": self.clients.under_way(), "cluster_size": listed, "cluster_unhealthy": avoided,
-            "conf_loaded": dispatcher.loaded, "conf_invalid": dispatcher.invalid})
+            "conf_loaded": dispatcher.loaded, "conf_invalid": dispatcher.invalid,
+            **(self.peers.figures() if self.peers is not None else {})})
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -11,6 +11,7 @@
 from contextlib import suppress
 from dataclasses import replace
 from time import monotonic, sleep
+from typing import TYPE_CHECKING
 
 from .. import compiled, invariants
 from ..discovery.roster import Address, BadList, Roster, Update
@@ -27,12 +28,15 @@
 from .succession import Inherited, Succession, reach
 from .watching import Watcher
 
+if TYPE_CHECKING:
+    from .peers import Peers
+
 STACK = 128 * 1024
 # Of the C library's allocator (malloc.h): one heap for all threads, and no mapping for each large body.
 ONE_HEAP = {"M_ARENA_MAX": (-8, 1), "M_MMAP_THRESHOLD": (-3, 32 << 20), "M_TRIM_THRESHOLD": (-1, 32 << 20)}
 SWITCH = 0.02
 COMING = 0.5                # how long new connections may still come after SIGTERM, with room to spare
-FIXED = ("name", "listen", "limits", "admin")  # keys of the file that are read at the start only
+FIXED = ("name", "listen", "limits", "admin", "peers")  # keys of the file that are read at the start only
 LAST = 0.5                  # past the longest patience, when to end whatever is left
 
 
@@ -60,13 +64,16 @@
     except OSError as trouble:
         raise BadConfig(f"cannot listen on {named(config.listen)}: {trouble.strerror}") from trouble
     succession = Succession(dispatcher, clients, lambda: roster.whole(watch.version), config.listen)
+    peers = speaking(config, log, before is not None)
     try:
-        operators = Operators(config.admin, dispatcher, clients, succession) if config.admin else None
+        operators = Operators(config.admin, dispatcher, clients, succession, peers) if config.admin else None
     except OSError as trouble:
         raise BadConfig(f"cannot listen on {named(config.admin)}: {trouble.strerror}") from trouble
     start(log.run)
     start(dispatcher.run_timers)
     start(watcher.run)
+    if peers is not None:
+        start(peers.run)
     if before is not None:
         dispatcher.inherit(before.by_hand, before.returned)
         dispatcher.emptied = before.emptied
@@ -83,7 +90,8 @@
     host, port = clients.listener.getsockname()[:2]
     log.event("started", listen=f"{host}:{port}", operators=operators.where if operators else "",
               servers=len(known.entries), from_clients=config.from_clients, to_servers=config.to_servers,
-              checks="asserted" if __debug__ else "counted", form=compiled.FORM)
+              checks="asserted" if __debug__ else "counted", form=compiled.FORM,
+              **({"peers": peers.where} if peers is not None else {}))
     start(clients.run)
     if operators is not None:
         if before is not None:
@@ -92,7 +100,20 @@
         start(operators.run)
     while signal.sigwait(signals) == signal.SIGHUP:
         config = reload(config, path, dispatcher, watcher, log)
-    drain(dispatcher, clients, log)
+    drain(dispatcher, clients, log, peers)
+
+
+def speaking(config: Config, log: Log, waits: bool) -> Peers | None:
+    """The part that speaks with other sidecars; not even imported where the file has no peers."""
+    if config.peers is None:
+        return None
+    from .peers import Peers
+    zone = config.zones[config.settings.zone] if config.zones else ""
+    try:
+        return Peers(config.peers, config.name, zone, log, waits)
+    except OSError as trouble:
+        where = config.peers.listen
+        raise BadConfig(f"peers.listen: cannot listen on {where}: {trouble.strerror}") from trouble
 
 
 def first_list(roster: Roster, config: Config, before: Inherited | None) -> Update:
@@ -125,7 +146,7 @@
         return config
     waiting = [key for key in FIXED if fixed(new, key) != fixed(config, key)]
     new = replace(new, name=config.name, listen=config.listen, admin=config.admin, seed=config.seed,
-                  connections=config.connections)
+                  connections=config.connections, peers=config.peers)
     before, after = config.settings, localised(new, watcher.watch.roster).settings
     changed = after != before or (new.zones, new.idle, new.dial) != (
         config.zones, config.idle, config.dial)
@@ -174,7 +195,7 @@
         self.dispatcher.wake(now + 1_000_000, self)
 
 
-def drain(dispatcher: Dispatcher, clients: Clients, log: Log) -> None:
+def drain(dispatcher: Dispatcher, clients: Clients, log: Log, peers: Peers | None) -> None:
     """Go on accepting and answering, close connections between requests, and end once nothing is owed."""
     began = monotonic()
     dispatcher.draining = True
@@ -187,6 +208,8 @@
         if not clients.open:
             break
         sleep(0.01)
+    if peers is not None:
+        peers.leave()       # not before: until now it has sent hops, and counts among those who do
     log.event("stopped", after_s=round(monotonic() - began, 3), clients=len(clients.open),
               taken=dispatcher.taken, broken=invariants.broken)
     log.flush()
