What waited to be accepted past its patience goes nowhere

Seen in the lab's first play with stopped sidecars: after 3 s of SIGSTOP two sidecars sent 74 submissions to servers, which ran them, two seconds after their patience. Checked: requests on connections that stood before were answered by the kernel's stamp; those on new ones, which waited in the listener's queue, counted as come when they were accepted (Client.since, the bound of arrival.receive). Change: the bound is when the kernel says that something came on the connection last (tcpi_last_data_recv), and the listener is stamped from the start.

--- a/pumicepath/sidecar/arrival.py
+++ b/pumicepath/sidecar/arrival.py
@@ -17,6 +17,7 @@
 ESTABLISHED = 1             # of the kernel's states (tcp_states.h)
 RECEIVED = slice(128, 136)  # tcpi_bytes_received of struct tcp_info (linux/tcp.h)
 STAMP = 35                  # SO_TIMESTAMPNS of asm-generic/socket.h, on all machines this is meant for
+LATEST = slice(52, 56)      # tcpi_last_data_recv, in milliseconds
 PAIR = struct.Struct("qq")
 SPACE = socket.CMSG_SPACE(PAIR.size)
 
@@ -27,6 +28,19 @@
         sock.setsockopt(socket.SOL_SOCKET, STAMP, 1)
 
 
+def latest(sock: socket.socket, now: int) -> int:
+    """When something came on a connection last, or it was made, as far as the kernel tells; else `now`.
+
+    Guards against taking what has waited to be accepted for new: after a process was stopped, or had no core,
+    clients have long gone, and what they asked for must not be done any more.
+    """
+    with suppress(OSError):
+        told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, RECEIVED.stop)
+        if len(told) >= LATEST.stop:
+            return now - int.from_bytes(told[LATEST], sys.byteorder) * 1000
+    return now
+
+
 def receive(sock: socket.socket, room: memoryview, since: int) -> tuple[int, int]:
     """Read once, and tell how many bytes that were and when they came, no earlier than `since`.
 
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -52,6 +52,7 @@
         self.owner = owner
         self.state = FRESH
         self.since = now
+        self.bound = now            # before which nothing that is read next can have come
         self.keep = True
         self.errors = 0
         self.served = 0
@@ -76,6 +77,7 @@
             # Guards the thread that answers against a client that does not read.
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, LONGEST_WRITE)
             arrival.mark(self.sock)
+            self.bound = arrival.latest(self.sock, self.since)
             self.read()
             while self.state == CLOSING and not self.reset and self.sock.recv_into(SINK, 0, socket.MSG_TRUNC):
                 pass  # guards the answer: closed with bytes unread, it would be lost on its way
@@ -125,7 +127,7 @@
             if not told and parser.awaited():
                 told = True
                 self.sock.sendall(writing.CONTINUE)
-            count, arrived = arrival.receive(self.sock, parser.ring.room(), self.since)
+            count, arrived = arrival.receive(self.sock, parser.ring.room(), self.bound)
             if not count:
                 return
             parser.ring.wrote(count)
@@ -149,7 +151,7 @@
                 self.last = True
                 self.keep = False
             self.state = state
-            self.since = clock.now()
+            self.since = self.bound = clock.now()
             self.got = 0
         return True
 
@@ -361,7 +363,7 @@
             if self.state != state or state == PARTIAL and self.unread():
                 return False
             self.state = LAST if state in (FRESH, IDLE) else CLOSING
-            self.since = clock.now()
+            self.since = self.bound = clock.now()
         if state == PARTIAL:
             self.owner.refused["unfinished"] += 1
             late = answers.plain(408, "unfinished")
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -7,7 +7,7 @@
 import time
 from collections import Counter
 
-from . import clock, upload
+from . import arrival, clock, upload
 from .client import BUSY, CLOSING, FRESH, IDLE, LAST, PARTIAL, Client
 from .config import Config
 from .dispatch import Dispatcher
@@ -63,6 +63,7 @@
         self.taking = threading.Event()
         self.taking.set()
         self.listener = listener or listening(config)
+        arrival.mark(self.listener)     # what it accepts is stamped from the first byte on
         if config.admin:
             # The process that will take this one's place accepts from the same queue: each looks now and
             # then whether it is still to.  They share the socket, and so whether it blocks.
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -501,3 +501,22 @@
     result = subprocess.run(command, capture_output=True, text=True, timeout=30)
     assert (result.returncode, result.stdout) == (2, "") and says in result.stderr
     assert result.stderr.count("\n") == 1
+
+
+def test_what_waited_to_be_accepted_past_its_patience_goes_nowhere(tmp_path: Path) -> None:
+    """Found by stopping sidecars in the lab: 74 submissions went out, and ran, two seconds after patience."""
+    around = Deployment(tmp_path, 1)
+    with around.running():
+        around.ask("once", answer(200, "before"))
+        around.process.send_signal(signal.SIGSTOP)
+        with socket.create_connection(around.where) as late:
+            began = time.monotonic()
+            around.send("once", 200, sock=late)
+            while time.monotonic() - began < 0.6:   # until patience is over, and well past it
+                time.sleep(0.05)
+            around.process.send_signal(signal.SIGCONT)
+            response = around.hear(late, ResponseParser())
+        assert response is not None and response.status != 200, around.lines
+        assert around.ask("once", answer(200, "after")) is not None
+    assert [line for line in around.lines if line.startswith("s-0")] == [
+        "s-0: GET /api?x=1 t1", "s-0: GET /api?x=1 t3"], around.lines
