A proving ground: faults of real processes, a history from outside, checks that judge it

Need: nothing could stop a process in mid-thought, cut one sidecar from another, lose a disk or bend a clock, and no record was kept to judge afterwards. `lab/loopback` no longer imports in a circle (ground.py, a protocol). Membership: a deaf sidecar no longer has others declared dead, a late word of a life that is over proves nothing.

--- a/pumicepath/commands/lab.py
+++ b/pumicepath/commands/lab.py
@@ -17,20 +17,20 @@
 FILE = click.argument("file", type=click.Path(path_type=Path))
 
 
-def read(file: Path, seeds: int = 0) -> Read:
+def read(file: Path, seeds: int = 0, host: str = "") -> Read:
     try:
         from ..lab.experiments import files
     except ImportError as trouble:
         fail(MISSING.format(trouble))
     try:
-        return files.read(file, seeds)
+        return files.read(file, seeds, host)
     except files.BadExperiment as trouble:
         fail(trouble)
 
 
 @click.group()
 def lab() -> None:
-    """Rehearse failures and loads in virtual time."""
+    """Rehearse failures and loads, in virtual time or with real processes on loopback."""
 
 
 @lab.command()
@@ -40,9 +40,21 @@
 @click.option("--seeds", type=click.IntRange(1), help="Instead of the file's number of seeds.")
 @click.option("--workers", type=click.IntRange(1), default=os.cpu_count() or 1, show_default=True,
               help="Processes that play runs.")
-def run(file: Path, folder: Path | None, seeds: int | None, workers: int) -> None:
+@click.option("--on", "host", type=click.Choice(["virtual", "loopback"]), default="virtual",
+              show_default=True,
+              help="Whether sidecars are simulated or real processes; on loopback the plan is played once.")
+@click.option("--seed", type=click.IntRange(0), help="On loopback: of the load and what goes wrong.")
+@click.option("--json", "as_json", is_flag=True, help="On loopback: end with one object.")
+def run(file: Path, folder: Path | None, seeds: int | None, workers: int, host: str, seed: int | None,
+        as_json: bool) -> None:
     """Play an experiment, and write its report.  Ends with 1 if a rule was broken by our decisions."""
-    made = read(file, seeds or 0)
+    made = read(file, seeds or 0, host)
+    if host == "loopback":
+        really(made, folder or Path("found") / made.name,
+               made.experiment.first_seed if seed is None else seed, as_json)
+        return
+    if seed is not None or as_json:
+        fail("--seed and --json go with --on loopback")
     from rich.progress import Progress
 
     from ..lab.experiments import comparing, report, running
@@ -68,6 +80,58 @@
         fail("a rule was broken", 1)
 
 
+def really(made: Read, folder: Path, seed: int, as_json: bool) -> None:
+    """Play with real processes; the history and the page about it go into the folder."""
+    import signal
+
+    import orjson
+
+    from ..lab.experiments import fleet
+    from ..lab.loopback import demo, world
+    signal.signal(signal.SIGINT, signal.default_int_handler)    # even where the caller ignores it
+    history = folder / fleet.HISTORY
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        result = world.play(made.plan, seed, None if as_json else lambda each: click.echo(demo.line(each)),
+                            history)
+    except world.Void as trouble:
+        fail(f"void: {trouble}", 3)
+    except OSError as trouble:
+        fail(f"loopback: {trouble.strerror or trouble}")
+    except KeyboardInterrupt:
+        fail(f"interrupted; no process is left, and {history} holds what was seen", 130)
+    found = fleet.judged(history)
+    page = fleet.write(folder, made.experiment.title, found)
+    if as_json:
+        click.echo(orjson.dumps({**demo.totals(result), **found.figures()}).decode())
+    else:
+        click.echo("\n".join([*demo.verdict(result), *found.lines(), f"history: {history}",
+                              f"report: {page}"]))
+    if found.violations:
+        raise SystemExit(1)
+
+
+@lab.command()
+@click.argument("history", type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Only one object.")
+def judge(history: Path, as_json: bool) -> None:
+    """Check a history of real processes, without the run.  Ends with 1 if something was broken."""
+    try:
+        import orjson
+
+        from ..lab.experiments import fleet
+        from ..lab.faults.history import BadHistory
+    except ImportError as trouble:
+        fail(MISSING.format(trouble))
+    try:
+        found = fleet.judged(history)
+    except BadHistory as trouble:
+        fail(trouble)
+    click.echo(orjson.dumps(found.figures()).decode() if as_json else "\n".join(found.lines()))
+    if found.violations:
+        raise SystemExit(1)
+
+
 @lab.command("list")
 @click.argument("folder", type=click.Path(path_type=Path), default=Path("experiments"))
 def listed(folder: Path) -> None:
--- a/pumicepath/fleet/membership.py
+++ b/pumicepath/fleet/membership.py
@@ -26,6 +26,7 @@
 SICKEST = 8                 # how slow a sidecar may take itself to be
 TELLINGS = 5                # times a period that news goes out by itself, to
 TOLD_AT_ONCE = 2            # others
+DEAF = 3                    # periods without a word of anybody, who probes and is probed in each
 RETRY_DEAD = 5              # periods between two tries of one that is thought dead
 RETRY_SEED = 10             # periods between two tries of a seed that is not among those known
 COMPARE = 5                 # periods between two comparisons of whole views
@@ -65,9 +66,9 @@
 class Bounds(NamedTuple):
     """Of the number of sidecars, this one with them.
 
-    `least` spoke to this one within the last `RECENT` periods, and are not known to have ended since.  `likely` are those
-    thought to be there.  `most` has those with it that are thought dead and never said goodbye: they may be
-    cut off and at work.  Nothing heard bounds the number of those that nobody here ever heard of.
+    `least` spoke to this one within the last `RECENT` periods, and are not known to have ended since.
+    `likely` are those thought to be there.  `most` has those with it that are thought dead and never said
+    goodbye: they may be cut off and at work.  Nothing bounds the number of those nobody here ever heard of.
     """
 
     least: int
@@ -108,7 +109,8 @@
         self.doubts: list[tuple[int, int, int]] = []    # until when, of whom, which suspicion
         self.asked: dict[int, tuple[str, int, int]] = {}    # for others: to whom, its number, until when
         self.others: dict[int, int] = {}                # other lives of this one's name, since when
-        self.last_heard = self.reborn = 0               # when: anything at all; a life that was lied about
+        self.last_heard = now                           # when anything at all came last
+        self.reborn = 0                                 # when a life was begun anew that was lied about
         self.paged_from = now
         self.pages = 0
         self.joining = True             # until one whole view has come
@@ -165,11 +167,15 @@
         self.sick = min(SICKEST, self.sick + 1)
         self.probe = None
         self.next_probe = self.probe_step = now + self.jitter(self.settings.every)
-        self.doubts = sorted((until + late, born, which) for until, born, which in self.doubts)
+        self.put_off(late)
         self.asked.clear()
         self.next_seed = max(self.next_seed, now)
         self.expected = now
 
+    def put_off(self, span: int) -> None:
+        """Suspicions last longer by a time in which nothing could have refuted them."""
+        self.doubts = [(until + span, born, which) for until, born, which in self.doubts]
+
     def jitter(self, span: int) -> int:
         return self.chance.randrange(max(1, span))
 
@@ -283,21 +289,28 @@
         member.doubted += first
         confirmed = len(member.accusers) - 1
         possible = min(CONFIRMED, len(self.roll.ring) - 2)
-        shortest = SHORTEST * max(1.0, log10(len(self.roll.ring) + 1)) * self.settings.every
         part = 0.0 if possible < 1 else 1.0 - log(min(confirmed, possible) + 1) / log(possible + 1)
-        until = member.since + round(shortest * (1.0 + (STRETCH - 1) * part))
+        until = member.since + round(self.shortest() * (1.0 + (STRETCH - 1) * part))
         heappush(self.doubts, (max(now, until), member.record.born, member.doubted))
         if not first:
             # Told on with who shares it: only different witnesses make it shorter.
             member.record = with_state(member.record, SUSPECTED, member.record.incarnation, by)
             self.tell(now, member.record.born)
 
+    def shortest(self) -> int:
+        return round(SHORTEST * max(1.0, log10(len(self.roll.ring) + 1)) * self.settings.every)
+
     def end_doubts(self, now: int) -> None:
         while self.doubts and self.doubts[0][0] <= now:
             _, born, which = heappop(self.doubts)
             member = self.roll.members.get(born)
             if member is not None and member.record.state == SUSPECTED and member.doubted == which:
                 held = member.record
+                longest = member.since + STRETCH * self.shortest()
+                if self.last_heard < member.since and now < longest:
+                    # Guards all others against being taken for dead by one that has become deaf.
+                    heappush(self.doubts, (longest, born, which))
+                    continue
                 self.accept(now, member, with_state(held, DEAD, held.incarnation, self.me.born), "")
 
     # -- what is heard
@@ -307,6 +320,8 @@
         sender = message.sender
         if self.gone or sender.born == self.me.born or sender.state in (SUSPECTED, DEAD):
             return
+        if now - self.last_heard > DEAF * self.settings.every:
+            self.put_off(now - self.last_heard)
         self.last_heard = now
         member = self.first_hand(now, address, sender)
         match message:
@@ -348,6 +363,8 @@
             member.heard = now
             if address == sender.address:
                 before = self.roll.members.get(self.roll.places.get(address, 0))
+                if member.record.state in (DEAD, LEFT):
+                    return member       # a late word of a life that is over proves nothing of who is there
                 if before is not None and before is not member:
                     self.replaced(now, before, sender)
                 self.roll.places[address] = sender.born
--- a/pumicepath/lab/experiments/pictures.py
+++ b/pumicepath/lab/experiments/pictures.py
@@ -95,3 +95,32 @@
     axes.tick_params(labelsize=7)
     axes.legend(fontsize=7, ncol=5, loc="lower right")
     return saved(figure, path)
+
+
+def matrix(names: Sequence[str], at: Sequence[float], rows: Sequence[Sequence[float]],
+           marks: Sequence[Sequence[Any]], path: Path) -> Path:
+    """A row a sidecar, a column a look: the share of the others that see it as alive."""
+    figure, axes = pyplot.subplots(figsize=(9, min(9.0, 1.8 + 0.16 * len(names))))
+    edges = [*at, at[-1] + (at[-1] - at[0]) / max(1, len(at) - 1)]
+    shown = axes.pcolormesh(edges, numpy.arange(len(names) + 1), numpy.array(rows, dtype=float).T, vmin=0,
+                            vmax=1, cmap="RdYlGn")
+    step = max(1, len(names) // 25)
+    axes.set_yticks(numpy.arange(0, len(names), step) + 0.5, names[::step], fontsize=6)
+    axes.invert_yaxis()
+    figure.colorbar(shown, ax=axes, label="seen as alive by")
+    mark(axes, marks)
+    axes.set(xlabel="seconds")
+    return saved(figure, path)
+
+
+def carried(at: Sequence[float], messages: Sequence[float], sizes: Sequence[float],
+            marks: Sequence[Sequence[Any]], path: Path) -> Path:
+    """Messages and kilobytes a second, all sidecars together."""
+    figure, axes = pyplot.subplots(figsize=(9, 3))
+    axes.plot(at, messages, lw=1.4, label="messages a second")
+    other = axes.twinx()
+    other.plot(at, [size / 1000 for size in sizes], lw=1.0, color="tab:orange")
+    other.set_ylabel("kB a second", color="tab:orange")
+    mark(axes, marks)
+    axes.set(xlabel="seconds", ylabel="messages a second")
+    return saved(figure, path)
--- a/pumicepath/lab/experiments/running.py
+++ b/pumicepath/lab/experiments/running.py
@@ -32,7 +32,7 @@
             "first": result.first, "columns": result.columns, "marks": result.marks,
             "at_servers": result.at_servers, "breakers": [[round(share, 2) for share in row]
                                                           for row in result.breakers],
-            "latency": held.encode().decode()}
+            "views_wrong": result.views_wrong, "latency": held.encode().decode()}
 
 
 def quietly() -> None:
--- a/pumicepath/lab/loopback/discovery.py
+++ b/pumicepath/lab/loopback/discovery.py
@@ -5,15 +5,13 @@
 import asyncio
 import re
 import time
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import orjson
 
 from ...http1 import writing
 from ...interface import Entry, Listing, Phase
-
-if TYPE_CHECKING:
-    from .world import LiveWorld
+from .ground import Ground
 
 HEALTH = {Phase.READY: "active", Phase.DRAINING: "leaving", Phase.GONE: "left"}
 WATCH = re.compile(rb"[?&]since=(\d+)&timeout_ms=(\d+)")
@@ -22,7 +20,7 @@
 class Desk:
     """What one sidecar's watch meets; it is that sidecar's reader of the registry."""
 
-    def __init__(self, world: LiveWorld, number: int) -> None:
+    def __init__(self, world: Ground, number: int) -> None:
         self.world = world
         self.number = number
         self.version = 0
--- a/pumicepath/lab/loopback/servers.py
+++ b/pumicepath/lab/loopback/servers.py
@@ -6,7 +6,7 @@
 import socket
 import struct
 from contextlib import suppress
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from ...http1 import writing
 from ...http1.messages import Malformed, Request
@@ -14,9 +14,7 @@
 from ...interface import Outcome
 from ...sidecar.servers import NEVER_RAN
 from ..model.servers import Job, Server
-
-if TYPE_CHECKING:
-    from .world import LiveWorld
+from .ground import Ground
 
 BODY = b"s" * 200
 ANSWERS = {
@@ -31,7 +29,7 @@
 class Door:
     """One address for good, whoever listens behind it: open, shut (refuses), or silent (drops)."""
 
-    def __init__(self, world: LiveWorld) -> None:
+    def __init__(self, world: Ground) -> None:
         self.world = world
         self.port = 0
         self.sock: socket.socket
@@ -122,7 +120,7 @@
 class Connection(asyncio.Protocol):
     """One connection to a server: a request at a time, answered when the model says so."""
 
-    def __init__(self, world: LiveWorld, server: LiveServer | None) -> None:
+    def __init__(self, world: Ground, server: LiveServer | None) -> None:
         self.world = world
         self.server = server
         self.parser = RequestParser()
--- a/pumicepath/lab/model/clients.py
+++ b/pumicepath/lab/model/clients.py
@@ -77,6 +77,7 @@
         self.forfeited, self.left, self.lost, self.refused = ([0] * seconds for _ in range(4))
         self.times: list[list[int]] = [[] for _ in range(tariffs)]
         self.gained = self.could = 0.0
+        self.wanted, self.earned = [0.0] * seconds, [0.0] * seconds     # gain offered, and served in time
         self.retries = 0
 
 
@@ -260,7 +261,11 @@
 
     def end(self, ask: Ask, column: list[int]) -> None:
         ask.over = True
-        column[ask.due // SECOND] += 1
+        second, gain = ask.due // SECOND, self.tariffs[ask.tariff].gain
+        column[second] += 1
+        self.tally.wanted[second] += gain
+        if column is self.tally.good:
+            self.tally.earned[second] += gain
         del self.open[ask.number]
         self.judge.closed(ask.number)
 
--- a/pumicepath/lab/model/listing.py
+++ b/pumicepath/lab/model/listing.py
@@ -108,7 +108,7 @@
         self.tell(number, following, self.seq, Listing.CACHED, self.whole())
 
     def leave(self, number: int) -> None:
-        del self.followers[number]
+        self.followers.pop(number, None)
 
     def follow(self, number: int) -> None:
         """A sidecar asks for the whole list and all that follows."""
--- a/pumicepath/lab/model/result.py
+++ b/pumicepath/lab/model/result.py
@@ -29,10 +29,11 @@
     at_servers: list[list[int]] = field(default_factory=list)
     breakers: list[list[float]] = field(default_factory=list)
     log: list[str] = field(default_factory=list)
+    views_wrong: list[int] = field(default_factory=list)    # a second: sidecars that see the fleet wrong
 
 
 def result(world: World, policy: str, events: int, at_servers: list[list[int]],
-           breakers: list[list[float]], log: list[str]) -> Result:
+           breakers: list[list[float]], log: list[str], views_wrong: list[int] | None = None) -> Result:
     tally, judge = world.tally, world.judge
     return Result(
         seed=world.seed, policy=policy, service=tally.gained / tally.could if tally.could else 1.0,
@@ -40,7 +41,7 @@
         rules=dict(judge.broken), first=dict(judge.first), finals=dict(judge.finals),
         marks=[(mark.at, mark.until, mark.text) for mark in world.marks], events=events,
         hops=sum(server.done for server in world.servers.values()), at_servers=at_servers,
-        breakers=breakers, log=log)
+        breakers=breakers, log=log, views_wrong=views_wrong or [])
 
 
 def summary(result: Result) -> dict[str, Any]:
--- a/pumicepath/lab/spec.py
+++ b/pumicepath/lab/spec.py
@@ -46,6 +46,8 @@
     most_hops: Count = 4
     crossing_price: Time = 0.0
     advice_s: Time = 2.0            # the longest advice when to come back; 0: none is given
+    peers: bool = False             # whether they speak with each other
+    peers_every_s: Positive = 1.0   # between two probes of each
 
 
 class Tariff(Part):
@@ -112,6 +114,15 @@
     count: Count = 1
     hall: int = 0
     value: float = 0.0              # 0: the kind's own
+    sidecars: tuple[int, ...] = ()  # numbers; none: a share of them by chance, or all, as the kind says
+    from_: tuple[int, ...] = ()     # of a cut one way: sidecars whose messages are lost,
+    to: tuple[int, ...] = ()        # on their way to these
+    state: Literal["old", "none", "other"] = "old"      # what killed ones find on their disk when they return
+    delay_ms: Time = 0.0            # of messages among peers, and how much longer by chance,
+    spread_ms: Time = 0.0
+    doubled: Share = 0.0            # shares of them that come twice,
+    spoilt: Share = 0.0             # or with a bit flipped
+    rate_kb: Time = 0.0             # a second on each way; 0: without a bound
 
 
 class Plan(Part):
--- a/pumicepath/lab/troubles/trouble.py
+++ b/pumicepath/lab/troubles/trouble.py
@@ -17,6 +17,9 @@
 
     usual = 0.0
     lasting = True          # whether it has an end of its own to be told
+    real = False            # whether only real processes can have it
+    bends = False           # whether clocks of sidecars are bent by it
+    needs_peers = False     # whether sidecars must speak with each other for it
 
     def __init__(self, world: World, spec: Spec, number: int) -> None:
         self.world = world
@@ -49,9 +52,20 @@
             return list(self.spec.servers)
         return sorted(self.chance.sample(range(len(self.world.places)), self.spec.count))
 
+    def sidecars(self) -> list[int]:
+        """The sidecars that it meets, as named or a share by chance."""
+        count = len(self.world.instances)
+        if self.spec.sidecars:
+            return sorted(self.spec.sidecars)
+        return sorted(self.chance.sample(range(count), max(1, round(self.value * count))))
+
     def servers(self) -> list[Server]:
         return [self.world.at_place(place) for place in self.places()]
 
 
+def numbered(sidecars: list[int]) -> str:
+    return "sidecar " + ", ".join(map(str, sidecars)) if len(sidecars) < 9 else f"{len(sidecars)} sidecars"
+
+
 def named(servers: list[Server]) -> str:
     return "server " + ", ".join(str(server.number) for server in servers)
--- a/pumicepath/lab/virtual/run.py
+++ b/pumicepath/lab/virtual/run.py
@@ -6,14 +6,17 @@
 from collections import deque
 from collections.abc import Callable
 
+from ...fleet.settings import TIMEOUT_PART
 from ...interface import Settings
 from ...logic import Balancer
+from ..model.links import Links
 from ..model.result import Result, result
 from ..model.timeline import SECOND, Virtual
 from ..model.world import World
 from ..spec import Plan, micros
 from ..troubles import KINDS
 from .baselines import TEXTBOOK, Plain, oracle
+from .peers import Peering
 from .sidecar import Maker, Sidecar
 
 OURS = "pumicepath"
@@ -35,6 +38,12 @@
         self.log: deque[str] = deque(maxlen=trace)
         self.at_servers: list[list[int]] = []
         self.breakers: list[list[float]] = []
+        self.views_wrong: list[int] = []
+        if plan.sidecars.peers:
+            self.links = Links(self.timeline, seed, self.network.near)
+            every = micros(plan.sidecars.peers_every_s)
+            self.peering = Peering(self.timeline, self.links, seed, plan.sidecars.count, every,
+                                   round(every * TIMEOUT_PART))
         halls = plan.fleet.halls
         for number in range(plan.sidecars.count):
             hall = number % halls
@@ -66,7 +75,9 @@
             self.log.append(f"{self.timeline.now / SECOND:9.3f}  sidecar {sidecar}: {text}")
 
     def look(self) -> None:
-        """What servers have at them, and the share of sidecars whose breakers refuse them."""
+        """What servers have at them, the share of sidecars that refuse them, and who sees the fleet wrong."""
+        if isinstance(self.peering, Peering):
+            self.views_wrong.append(len(self.peering.wrong(LOOKED_AT)))
         self.at_servers.append([self.servers[number].at_it for number in self.places])
         refused = [0] * len(self.places)
         step = max(1, len(self.instances) // LOOKED_AT)
@@ -89,4 +100,4 @@
             second += SECOND
         self.timeline.run(self.lasts + max(tariff.patience for tariff in self.tariffs) + LAST_WORDS)
         return result(self, self.policy if isinstance(self.policy, str) else "other", self.timeline.events,
-                      self.at_servers, self.breakers, list(self.log))
+                      self.at_servers, self.breakers, list(self.log), self.views_wrong)
--- a/pumicepath/lab/virtual/sidecar.py
+++ b/pumicepath/lab/virtual/sidecar.py
@@ -12,6 +12,7 @@
 from ..model.network import Network
 from ..model.servers import Job, Server
 from ..model.timeline import Timeline
+from ..model.world import Fellows
 
 MARGIN = 5_000          # microseconds before patience ends in which the last word is said
 LONGEST_IDLE = 8        # idle connections kept to a server
@@ -75,6 +76,7 @@
     registry: Registry
     judge: Judge
     servers: dict[int, Server]
+    peering: Fellows | None
 
     @property
     def timeline(self) -> Timeline: ...
@@ -102,7 +104,7 @@
 
     # -- its process
 
-    def start(self) -> None:
+    def start(self, state: str = "old") -> None:
         """A new process that knows nothing but a copy of the list."""
         self.up = True
         self.starts += 1
@@ -113,11 +115,15 @@
         life = self.starts
         self.decisions: Decisions = self.maker(self.settings, self.seed + life - 1, Alive(self, life))
         self.world.registry.join(self.number, self)
+        if self.world.peering is not None:
+            self.world.peering.start(self.number)
 
     def kill(self) -> None:
         """Killed at once: its clients and servers see connections end."""
         self.up = False
         self.world.registry.leave(self.number)
+        if self.world.peering is not None:
+            self.world.peering.kill(self.number)
         opens, self.opens, self.names = self.opens, {}, {}
         for one in opens.values():
             for hop in one.hops:
--- a/pumicepath/sidecar/peers.py
+++ b/pumicepath/sidecar/peers.py
@@ -41,6 +41,7 @@
         self.told: dict[str, list[str]] = {}        # changes not logged yet: names by state
         self.line_at = 0.0
         self.name, self.zone = name, zone
+        self.listens = ""
         self.over = False
         self.sock: socket.socket | None = None
         self.membership: Membership | None = None
@@ -52,6 +53,7 @@
 
     @property
     def where(self) -> str:
+        """Where others reach it."""
         return self.membership.me.address if self.membership is not None else ""
 
     def bind(self) -> None:
@@ -62,10 +64,10 @@
         except OSError:
             sock.close()
             raise
-        mine = "{}:{}".format(*sock.getsockname())
+        self.listens = "{}:{}".format(*sock.getsockname())
         # Of chance each time: another life, whatever ran under this name or at this address before.
         born = int.from_bytes(os.urandom(8)) >> 1 | 1
-        me = Record(self.name, born, self.settings.advertise or mine, self.zone)
+        me = Record(self.name, born, self.settings.advertise or self.listens, self.zone)
         self.membership = Membership(me, self.settings, int.from_bytes(os.urandom(8)), self, clock.now())
         self.sock = sock
 
@@ -76,7 +78,7 @@
             sleep(BIND_AGAIN_S)
             with suppress(OSError), self.gate:
                 self.bind()
-                self.log.event("peers_listen", address=self.where)
+                self.log.event("peers_listen", listen=self.listens)
         while not self.over:
             try:
                 self.listen()
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -91,7 +91,7 @@
     log.event("started", listen=f"{host}:{port}", operators=operators.where if operators else "",
               servers=len(known.entries), from_clients=config.from_clients, to_servers=config.to_servers,
               checks="asserted" if __debug__ else "counted", form=compiled.FORM,
-              **({"peers": peers.where} if peers is not None else {}))
+              **({"peers": peers.listens} if peers is not None else {}))
     start(clients.run)
     if operators is not None:
         if before is not None:
