Faults of disks and of the way to the list; a joining sidecar asks on until its view is another's

`check` says with whom it speaks. Tests that interrupt no longer depend on what their caller ignores.

--- a/pumicepath/commands/lab.py
+++ b/pumicepath/commands/lab.py
@@ -82,13 +82,10 @@
 
 def really(made: Read, folder: Path, seed: int, as_json: bool) -> None:
     """Play with real processes; the history and the page about it go into the folder."""
-    import signal
-
     import orjson
 
     from ..lab.experiments import fleet
     from ..lab.loopback import demo, world
-    signal.signal(signal.SIGINT, signal.default_int_handler)    # even where the caller ignores it
     history = folder / fleet.HISTORY
     try:
         folder.mkdir(parents=True, exist_ok=True)
--- a/pumicepath/commands/sidecar.py
+++ b/pumicepath/commands/sidecar.py
@@ -46,5 +46,8 @@
                f"{len(config.known['hosts'])} servers known, {len(config.tariffs)} tariffs, "
                f"{config.from_clients} connections of clients and {config.to_servers} to servers at most")
     click.echo(f"fixed while it runs: {', '.join(running.FIXED)}")
+    if config.peers is not None:
+        seeds = ", ".join(config.peers.seeds) or "none"
+        click.echo(f"speaks with peers at {config.peers.listen}, seeds: {seeds}")
     if config.idle_keys:
         click.echo(f"without effect on this platform: {', '.join(config.idle_keys)}")
--- a/pumicepath/fleet/membership.py
+++ b/pumicepath/fleet/membership.py
@@ -113,7 +113,8 @@
         self.reborn = 0                                 # when a life was begun anew that was lied about
         self.paged_from = now
         self.pages = 0
-        self.joining = True             # until one whole view has come
+        self.began = now
+        self.joining = True             # until its view is that of another
         self.gone = False
         self.expected = now
 
@@ -349,9 +350,9 @@
             case Page():
                 if message.more and message.records:
                     self.want(address, max(record.born for record in message.records))
-                elif not message.more:
-                    self.joining = False
-        if message.digest != self.digest() and not isinstance(message, (Page, Want)):
+        if message.digest == self.digest():
+            self.joining = False
+        elif not isinstance(message, (Page, Want)):
             self.compare(now, address)
         self.expected = self.due()
 
@@ -459,6 +460,8 @@
 
     def compare(self, now: int, address: str) -> None:
         """Views differ though there is nothing new: ask for the whole of theirs, a page at a time."""
+        if now - self.began > RECENT * self.settings.every:
+            self.joining = False        # in a fleet that always changes no two views may be the same
         wait = 1 if self.joining else COMPARE if not len(self.news) else 4 * COMPARE
         if now - self.compared >= wait * self.settings.every:
             self.compared = now
--- a/pumicepath/fleet/settings.py
+++ b/pumicepath/fleet/settings.py
@@ -34,8 +34,8 @@
     most: int = 4096
 
 
-def decode(told: Any, environment: Mapping[str, str]) -> PeerSettings | None:
-    """The settings, or None where neither the file nor the environment speaks of peers."""
+def decode(told: Any, environment: Mapping[str, str]) -> PeerSettings:
+    """The settings by the file's object and the environment, which goes before it."""
     if told is not None and not isinstance(told, dict):
         raise ValueError("peers is no object")
     given: dict[str, Any] = dict(told or {})
@@ -43,8 +43,6 @@
         if environment.get(name):
             parts = [each.strip() for each in environment[name].split(",")]
             given[key] = [each for each in parts if each] if key == "seeds" else parts[0]
-    if told is None and "listen" not in given:
-        return None
     for key in given:
         if key not in KEYS:
             raise ValueError(f"peers.{key}: unknown; there are {', '.join(KEYS)}")
--- a/pumicepath/lab/model/world.py
+++ b/pumicepath/lab/model/world.py
@@ -58,6 +58,10 @@
         """Befall its folder: `full`, `free`, `torn`, `lost`, `kept`, `old`; how many files were met."""
         raise NotImplementedError
 
+    def burden(self, read_only: bool, slow_ms: float) -> None:
+        """Its disk takes no changes, or each step on it takes so long."""
+        raise NotImplementedError
+
 
 class Fellows(Protocol):
     """The fleet that sidecars are of, where the host has a model of it."""
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -6,14 +6,15 @@
 import os
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ..discovery.roster import Address, BadList, Roster, address
-from ..fleet import settings as fleet
-from ..fleet.settings import PeerSettings
 from ..interface import Settings
 from ..settings import check, decode, present, without_effect
 
+if TYPE_CHECKING:
+    from ..fleet.settings import PeerSettings
+
 KEPT_BACK = 48              # descriptors for the listener, discovery, files, and clients beyond the bound
 OWN_MB = 24                 # memory before the first connection, with room for the list
 SPARE_PART = 1 / 16         # of the memory for the allocator and what grows
@@ -85,9 +86,13 @@
 
 
 def peers(told: dict[str, Any]) -> PeerSettings | None:
+    """None where nothing speaks of them; then nothing of the fleet is imported either."""
+    if told.get("peers") is None and not os.environ.get("GW_PEERS_LISTEN"):
+        return None
+    from ..fleet import settings as fleet
     found = fleet.decode(told.get("peers"), os.environ)
     name = str(told.get("name", ""))
-    if found is not None and not 0 < len(name.encode()) <= fleet.LONGEST_NAME:
+    if not 0 < len(name.encode()) <= fleet.LONGEST_NAME:
         raise ValueError(f"name: {name!r} is no name of 1 to {fleet.LONGEST_NAME} bytes, as peers need one")
     return found
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import signal
 import socket
 from pathlib import Path
 
@@ -115,6 +116,11 @@
                 self.end(one, Outcome.OK)
 
 
+def interruptible() -> None:
+    """For a child that is to be interrupted: who runs the tests may ignore SIGINT, as background jobs do."""
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 def check(name: str, bench: Bench, *more: str) -> None:
     compare(name, [*bench.lines, *more])
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -19,7 +19,8 @@
 from pumicepath.lab.faults.history import BadHistory, History
 from pumicepath.lab.model.links import Links, Noise
 from pumicepath.lab.model.timeline import SECOND, Virtual
-from pumicepath.lab.spec import Plan, Sidecars
+from pumicepath.lab.spec import Plan, Sidecars, Trouble
+from pumicepath.lab.virtual.run import VirtualWorld
 
 from .helpers import compare
 
@@ -187,6 +188,43 @@
     assert ended.stdout.split() == ["3600", "True"], ended.stderr
 
 
+def test_the_starter_makes_a_disk_read_only_and_slow(tmp_path: Path) -> None:
+    page = Page(tmp_path / "clock")
+    page.disk(True, 50)
+    (tmp_path / "own").mkdir()
+    (tmp_path / "own" / "kept").write_text("x")
+    code = ("import os, sys, time; from pathlib import Path\n"
+            "from pumicepath.lab.faults import clocks, starter\n"
+            "starter.burden(clocks.Page(Path(os.environ[clocks.VARIABLE])), sys.argv[1])\n"
+            "own, began = Path(sys.argv[1]), time.monotonic()\n"
+            "def tried(what):\n"
+            "    try: return what() and 'done'\n"
+            "    except OSError as trouble: return trouble.strerror\n"
+            "print(tried(lambda: (own / 'kept').read_text()), tried(lambda: (own / 'new').write_text('y')),\n"
+            "      tried(lambda: os.replace(own / 'kept', own / 'b')), tried(lambda: os.open(own / 'c',\n"
+            "      os.O_CREAT)), tried(lambda: (own.parent / 'other').write_text('z')),\n"
+            "      time.monotonic() - began > 0.2, sep='; ')")
+    around = {"PATH": "/usr/bin", VARIABLE: str(tmp_path / "clock"), "PYTHONPATH": "."}
+    ended = subprocess.run([sys.executable, "-c", code, str(tmp_path / "own")], text=True,
+                           capture_output=True, timeout=60, env=around)
+    refused = "Read-only file system"
+    assert ended.stdout.strip().split("; ") == ["done", *[refused] * 3, "done", "True"], ended
+
+
+def test_a_list_that_some_cant_reach_is_as_it_was_for_others() -> None:
+    plan = Plan(lasts_s=8, sidecars=Sidecars(count=3), troubles=(
+        Trouble(kind="list-down", at_s=2, for_s=5, sidecars=(1,)),
+        Trouble(kind="drain", at_s=3, servers=(0,))))
+    world = VirtualWorld(plan, 1, "random")
+    world.timeline.run(4 * SECOND)
+    told = [world.registry.followers[number].told.get(0) for number in range(3)]
+    assert told[0] and told[2] and told[1] is None and world.registry.off(1) and not world.registry.off(0)
+    deemed = world.registry.knows_since(1, 0)
+    assert deemed is not None and deemed > 4 * SECOND, "it is deemed told once it should have asked again"
+    world.timeline.run(20 * SECOND)
+    assert not world.registry.off(1)
+
+
 def test_disks_tear_lose_keep_and_fill(tmp_path: Path) -> None:
     disk, other = (Disk(tmp_path / name, tmp_path / f"copy-{name}") for name in ("a", "b"))
     (disk.folder / "state").write_bytes(bytes(1000))
