Replacing as a fault of the lab; the socket goes over by the port that it has

Need: replacing was not among the lab's faults. Found by its first plays: four submissions unanswered, as the new process, which knew the port, and the old one, whose file said port 0, compared what their files say; the listening socket did not go over and the kernel spread connections over two queues, one of them paused. Change: the old process compares the port that it has.

--- a/pumicepath/lab/model/listing.py
+++ b/pumicepath/lab/model/listing.py
@@ -9,6 +9,8 @@
 from ...interface import Entry, Listing, Phase
 from .timeline import Timeline, chance
 
+TWIN = 1 << 20              # added to the number of a sidecar whose process is being replaced: the new one's
+
 
 class Reader(Protocol):
     """A sidecar, as the list meets it."""
@@ -167,10 +169,23 @@
         self.cut_off.difference_update(numbers)
         self.down = self.down and bool(numbers)
 
+    def succeed(self, number: int) -> None:
+        """The new process is the only one now."""
+        following = self.followers.pop(number + TWIN, None)
+        if following is not None:
+            self.followers[number] = following
+
     # -- for the judge
 
     def knows_since(self, number: int, server: int) -> int | None:
-        """When this sidecar was told, or is deemed to have been told, that a server drains or is gone."""
+        """When this sidecar was told, or is deemed to have been told, that a server drains or is gone.
+
+        In an upgrade the old process and the new are one: what either was told counts.
+        """
+        both = [self.told_since(each, server) for each in (number, number + TWIN)]
+        return min((told for told in both if told is not None), default=None)
+
+    def told_since(self, number: int, server: int) -> int | None:
         following, since = self.followers.get(number), self.since.get(server)
         if following is None or since is None:
             return None
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -63,7 +63,9 @@
         clients = Clients(dispatcher, before.listener if before else None)
     except OSError as trouble:
         raise BadConfig(f"cannot listen on {named(config.listen)}: {trouble.strerror}") from trouble
-    succession = Succession(dispatcher, clients, lambda: roster.whole(watch.version), config.listen)
+    # By the port that it has, which the file need not name: who comes after may only know that one.
+    serving = config.listen._replace(port=clients.listener.getsockname()[1])
+    succession = Succession(dispatcher, clients, lambda: roster.whole(watch.version), serving)
     peers = speaking(config, log, before is not None)
     try:
         operators = Operators(config.admin, dispatcher, clients, succession, peers) if config.admin else None
