--- /dev/null
+++ b/pumicepath/fleet/leases.py
@@ -0,0 +1,134 @@
+"""Leases by majority, without a disk: what a voter grants, and how long a holder may count on it.
+
+`Voter.asked` answers one claim.  A voter grants each duty to one life at a time, under a number above all
+that it has granted before; who has a majority of grants holds the duty.  Two majorities share a voter, so
+that there is one holder, and numbers rise from one holder to the next (after PaxosLease, Trencsenyi et al.
+2009, in one round: who claims under a number that is too low is told the highest, and claims again).  A voter
+that begins with nothing keeps silent for the longest lease: what it may have granted before has ended then.
+
+Clocks may run fast or slow by `drift`, a share; none needs to agree with another.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from enum import IntEnum
+from hashlib import blake2b
+from typing import NamedTuple
+
+
+class Verdict(IntEnum):
+    GRANTED = 0
+    TAKEN = 1           # by another life, for a while
+    LOW = 2             # a number as high has been granted before
+    SILENT = 3          # this voter may have granted what it no longer knows
+    UNFIT = 4           # other voters are meant, a lease too long, or no room
+
+
+class Answer(NamedTuple):
+    """`wait` is microseconds until a claim may find it free; `highest` the highest number known here."""
+
+    verdict: Verdict
+    wait: int
+    highest: int
+
+
+def held_for(lease: int, drift: float) -> int:
+    """How long a holder counts on a lease from when it sent its claim, by its own clock, in microseconds.
+
+    The holder's clock may be slow and the voter's fast: shorter by both.
+    """
+    return int(lease * (1.0 - drift) / (1.0 + drift))
+
+
+def silent_for(longest: int, drift: float) -> int:
+    """How long a voter that remembers nothing waits by its clock, which may be fast, the former one slow."""
+    return -int(-longest * (1.0 + drift) // (1.0 - drift))
+
+
+def named(voters: Sequence[str]) -> int:
+    """A number for a set of voters, whatever their order."""
+    return int.from_bytes(blake2b("\n".join(sorted(set(voters))).encode(), digest_size=8).digest()) >> 1
+
+
+class Grant:
+    __slots__ = ("holder", "number", "until")
+
+    def __init__(self, holder: int, number: int, until: int) -> None:
+        self.holder = holder
+        self.number = number
+        self.until = until
+
+
+class Voter:
+    """One voter's grants; `sets` are the sets of voters that its file knows, by `named`.
+
+    A claim must win a majority of each of them, and says so: who goes by a file with fewer sets is granted
+    nothing here, so that a change of the voters never leaves two majorities that share nobody.
+    """
+
+    def __init__(self, sets: Sequence[int], longest: int, drift: float, now: int, most: int = 4096) -> None:
+        self.sets = frozenset(sets)
+        self.longest = longest
+        self.silent_until = now + silent_for(longest, drift)
+        self.most = most
+        self.grants: dict[str, Grant] = {}
+        self.highest: dict[str, int] = {}
+        self.floor = 0                      # the highest number of duties that were forgotten for room
+
+    def adopt(self, sets: Sequence[int]) -> None:
+        """Another file; grants stand as they are."""
+        self.sets = frozenset(sets)
+
+    def asked(self, now: int, duty: str, holder: int, number: int, lease: int,
+              sets: frozenset[int]) -> Answer:
+        """A claim, or a renewal under the number that the holder has."""
+        if now < self.silent_until:
+            return Answer(Verdict.SILENT, self.silent_until - now, 0)
+        highest = self.highest.get(duty, self.floor)
+        if not self.sets <= sets or lease > self.longest:
+            return Answer(Verdict.UNFIT, self.longest, highest)
+        grant = self.grants.get(duty)
+        if grant is not None and now < grant.until and (grant.holder, grant.number) != (holder, number):
+            return Answer(Verdict.TAKEN, grant.until - now, highest)
+        if grant is None and len(self.grants) >= self.most and not self.forget(now):
+            return Answer(Verdict.UNFIT, self.longest, highest)
+        highest = self.highest.get(duty, self.floor)
+        same = grant is not None and (grant.holder, grant.number) == (holder, number)
+        if number < highest or number == highest and not same:
+            return Answer(Verdict.LOW, 0, highest)
+        until = now + lease
+        if same and grant is not None:
+            until = max(until, grant.until)     # an old claim that comes late shortens nothing
+        self.grants[duty] = Grant(holder, number, until)
+        self.highest[duty] = number
+        return Answer(Verdict.GRANTED, 0, number)
+
+    def released(self, duty: str, holder: int, number: int) -> None:
+        """The holder has done with it: another may have it at once, under a higher number alone."""
+        grant = self.grants.get(duty)
+        if grant is not None and (grant.holder, grant.number) == (holder, number):
+            del self.grants[duty]
+
+    def forget(self, now: int) -> bool:
+        """Room for another duty: that of one whose grant has ended; its number then holds for all."""
+        for duty, grant in self.grants.items():
+            if grant.until <= now:
+                del self.grants[duty]
+                self.floor = max(self.floor, self.highest.pop(duty))
+                return True
+        return False
+
+
+class Fence:
+    """At whoever is acted on: acts under a lower number than one that came before are refused."""
+
+    def __init__(self, most: int = 4096) -> None:
+        self.most = most
+        self.highest: dict[str, int] = {}
+
+    def admits(self, duty: str, number: int) -> bool:
+        if number < self.highest.get(duty, 0) or duty not in self.highest and len(self.highest) >= self.most:
+            return False
+        self.highest[duty] = number
+        return True
--- a/pumicepath/fleet/messages.py
+++ b/pumicepath/fleet/messages.py
@@ -94,7 +94,37 @@
     news: Records
 
 
-Any = Ping | Ack | Reach | Passed | Want | Page | News
+class Claimed(msgspec.Struct, array_like=True, frozen=True):
+    """One duty that is claimed, renewed or given up, under a number."""
+
+    duty: Name
+    number: Id
+    release: bool = False
+
+
+class Claims(Message, tag=8, frozen=True):
+    """Ask a voter; `sets` names the sets of voters of which the sender will win majorities."""
+
+    round: Count
+    lease: Count
+    sets: Annotated[list[Id], Meta(max_length=8)]
+    claims: Annotated[list[Claimed], Meta(max_length=64)]
+
+
+class Granted(msgspec.Struct, array_like=True, frozen=True):
+    duty: Name
+    number: Id
+    verdict: Annotated[int, Meta(ge=0, le=15)]
+    wait: Count
+    highest: Id
+
+
+class Grants(Message, tag=9, frozen=True):
+    round: Count
+    grants: Annotated[list[Granted], Meta(max_length=64)]
+
+
+Any = Ping | Ack | Reach | Passed | Want | Page | News | Claims | Grants
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Any)
 
