--- a/pumicepath/lab/loopback/world.py
+++ b/pumicepath/lab/loopback/world.py
@@ -160,7 +160,9 @@
             links = self.links
             assert links is not None
             self.history.write("links", "carried", messages=links.sent.total(), bytes=links.bytes.total(),
-                               dropped=links.dropped)
+                               dropped=links.dropped, by={one.name: [links.sent[one.number],
+                                                                      links.bytes[one.number]]
+                                                           for one in self.sidecars})
             await asyncio.sleep(LOOK_S)
 
     def look(self) -> None:
--- a/pumicepath/lab/troubles/busy_core.py
+++ b/pumicepath/lab/troubles/busy_core.py
@@ -1,20 +1,17 @@
 """Another process keeps the core of a sidecar busy."""
 
-from .trouble import Trouble, numbered
+from ..model.world import Instance
+from .trouble import OfSidecars
 
 
-class BusyCore(Trouble):
+class BusyCore(OfSidecars):
     """Both are held to one core; by default one in ten."""
 
     usual = 0.1
     real = True
 
-    def begin(self) -> str:
-        self.hit = self.sidecars()
-        for number in self.hit:
-            self.world.instances[number].crowd(True)
-        return numbered(self.hit)
+    def befall(self, one: Instance) -> None:
+        one.crowd(True)
 
-    def end(self) -> None:
-        for number in self.hit:
-            self.world.instances[number].crowd(False)
+    def relieve(self, one: Instance) -> None:
+        one.crowd(False)
--- a/pumicepath/lab/troubles/clock_rate.py
+++ b/pumicepath/lab/troubles/clock_rate.py
@@ -1,21 +1,20 @@
 """The clocks of sidecars run at another rate."""
 
-from .trouble import Trouble, numbered
+from ..model.world import Instance
+from .trouble import OfSidecars
 
 
-class ClockRate(Trouble):
+class ClockRate(OfSidecars):
     """The value is the deviation in millionths, by default 200; of the sidecars named, or all."""
 
     usual = 200.0
-    real = True
-    bends = True
+    real = bends = everyone = True
 
-    def begin(self) -> str:
-        self.hit = list(self.spec.sidecars) or [one.number for one in self.world.instances]
-        for number in self.hit:
-            self.world.instances[number].bend(1.0 + self.value / 1e6, 0)
-        return f"{numbered(self.hit)} by {self.value:+g} ppm"
+    def befall(self, one: Instance) -> None:
+        one.bend(1.0 + self.value / 1e6, 0)
 
-    def end(self) -> None:
-        for number in self.hit:
-            self.world.instances[number].bend(1.0, 0)
+    def relieve(self, one: Instance) -> None:
+        one.bend(1.0, 0)
+
+    def remark(self) -> str:
+        return f" by {self.value:+g} ppm"
--- a/pumicepath/lab/troubles/disk_full.py
+++ b/pumicepath/lab/troubles/disk_full.py
@@ -1,20 +1,16 @@
 """Nothing more can be written to the disks of sidecars."""
 
-from .trouble import Trouble, numbered
+from ..model.world import Instance
+from .trouble import OfSidecars
 
 
-class DiskFull(Trouble):
-    """By default of all."""
+class DiskFull(OfSidecars):
+    """Of the sidecars named, or all."""
 
-    usual = 1.0
-    real = True
+    real = everyone = True
 
-    def begin(self) -> str:
-        self.hit = self.sidecars()
-        for number in self.hit:
-            self.world.instances[number].disk("full", self.chance)
-        return numbered(self.hit)
+    def befall(self, one: Instance) -> None:
+        one.disk("full", self.chance)
 
-    def end(self) -> None:
-        for number in self.hit:
-            self.world.instances[number].disk("free", self.chance)
+    def relieve(self, one: Instance) -> None:
+        one.disk("free", self.chance)
--- a/pumicepath/lab/troubles/disk_slow.py
+++ b/pumicepath/lab/troubles/disk_slow.py
@@ -1,21 +1,17 @@
 """Each step on the disks of sidecars takes its time."""
 
-from .trouble import Trouble, numbered
+from ..model.world import Instance
+from .trouble import OfSidecars
 
 
-class DiskSlow(Trouble):
+class DiskSlow(OfSidecars):
     """The value is the milliseconds of each step, by default 500; of the sidecars named, or all."""
 
     usual = 500.0
-    real = True
-    bends = True
+    real = bends = everyone = True
 
-    def begin(self) -> str:
-        self.hit = list(self.spec.sidecars) or [one.number for one in self.world.instances]
-        for number in self.hit:
-            self.world.instances[number].burden(False, self.value)
-        return numbered(self.hit)
+    def befall(self, one: Instance) -> None:
+        one.burden(False, self.value)
 
-    def end(self) -> None:
-        for number in self.hit:
-            self.world.instances[number].burden(False, 0.0)
+    def relieve(self, one: Instance) -> None:
+        one.burden(False, 0.0)
--- a/pumicepath/lab/troubles/sidecars_ended.py
+++ b/pumicepath/lab/troubles/sidecars_ended.py
@@ -1,20 +1,17 @@
 """Sidecars are asked to end, as in a release, and started again."""
 
-from .trouble import Trouble, numbered
+from ..model.world import Instance
+from .trouble import OfSidecars
 
 
-class SidecarsEnded(Trouble):
+class SidecarsEnded(OfSidecars):
     """SIGTERM; by default three in ten. They are started again once the time is over, ended or not."""
 
     usual = 0.3
     real = True
 
-    def begin(self) -> str:
-        self.hit = self.sidecars()
-        for number in self.hit:
-            self.world.instances[number].end()
-        return numbered(self.hit)
+    def befall(self, one: Instance) -> None:
+        one.end()
 
-    def end(self) -> None:
-        for number in self.hit:
-            self.world.instances[number].start(self.spec.state)
+    def relieve(self, one: Instance) -> None:
+        one.start(self.spec.state)
--- a/pumicepath/lab/troubles/sidecars_killed.py
+++ b/pumicepath/lab/troubles/sidecars_killed.py
@@ -1,19 +1,19 @@
 """Sidecars are killed in the same moment, and come back together."""
 
-from .trouble import Trouble, numbered
+from ..model.world import Instance
+from .trouble import OfSidecars
 
 
-class SidecarsKilled(Trouble):
+class SidecarsKilled(OfSidecars):
     """By default seven in ten; each finds its own state on its disk, none, or another's."""
 
     usual = 0.7
 
-    def begin(self) -> str:
-        self.hit = self.sidecars()
-        for number in self.hit:
-            self.world.instances[number].kill()
-        return numbered(self.hit) + ("" if self.spec.state == "old" else f", state {self.spec.state}")
+    def befall(self, one: Instance) -> None:
+        one.kill()
 
-    def end(self) -> None:
-        for number in self.hit:
-            self.world.instances[number].start(self.spec.state)
+    def relieve(self, one: Instance) -> None:
+        one.start(self.spec.state)
+
+    def remark(self) -> str:
+        return "" if self.spec.state == "old" else f", state {self.spec.state}"
--- a/pumicepath/lab/troubles/trouble.py
+++ b/pumicepath/lab/troubles/trouble.py
@@ -8,7 +8,7 @@
 from ..model.timeline import chance
 
 if TYPE_CHECKING:
-    from ..model.world import World
+    from ..model.world import Instance, World
     from ..spec import Trouble as Spec
 
 
@@ -63,6 +63,36 @@
         return [self.world.at_place(place) for place in self.places()]
 
 
+class OfSidecars(Trouble):
+    """Something that befalls each sidecar that it meets, and is taken back at the end."""
+
+    everyone = False        # who is met where none is named: all, or the share that is the value
+
+    def begin(self) -> str:
+        self.hit = self.sidecars()
+        for number in self.hit:
+            self.befall(self.world.instances[number])
+        return numbered(self.hit) + self.remark()
+
+    def end(self) -> None:
+        for number in self.hit:
+            self.relieve(self.world.instances[number])
+
+    def sidecars(self) -> list[int]:
+        if self.everyone and not self.spec.sidecars:
+            return [one.number for one in self.world.instances]
+        return super().sidecars()
+
+    def befall(self, one: Instance) -> None:
+        raise NotImplementedError
+
+    def relieve(self, one: Instance) -> None:
+        """Take it back."""
+
+    def remark(self) -> str:
+        return ""
+
+
 def numbered(sidecars: list[int]) -> str:
     return "sidecar " + ", ".join(map(str, sidecars)) if len(sidecars) < 9 else f"{len(sidecars)} sidecars"
 
