A test waits for the sidecar to have started before discovery answers

Cause: under load the line about the failed watch came ahead of the one that the test's harness waits for first, was passed over, and the next came after 20 s (1 of 7 plays beside a loaded machine, and once in the whole suite). Change: discovery's stand-in answers once the sidecar is up. The program is as it was.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -444,8 +444,9 @@
 
 def test_list_nested_too_deep_for_a_small_stack_is_only_a_failed_call(tmp_path: Path) -> None:
     around = Deployment(tmp_path, 1)
-    around.lists.put(answer(200, "[" * 30_000 + "]" * 30_000))
     with around.running():
+        # Not before: the line about it may else come ahead of `started`, and be passed over.
+        around.lists.put(answer(200, "[" * 30_000 + "]" * 30_000))
         assert "depth limit" in around.event("watch_failed")["text"]
         around.ask("read", answer(200, "still there"))
     assert around.lines[-1] == "client: 200 still there"
