--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -171,3 +171,17 @@
         before = len(os.listdir("/proc/self/fd"))
         assert reach(Address("127.0.0.1", 1)) is None
         assert len(os.listdir("/proc/self/fd")) <= before + 1
+
+
+def test_a_socket_whose_port_the_file_does_not_name_goes_over(tmp_path: Path,
+                                                              monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found by the lab: the files of both differ, and the kernel spread clients over two queues."""
+    around = Deployment(tmp_path, 1, admin_addr="127.0.0.1:0")
+    around.environment = {"TMPDIR": str(tmp_path)}
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    with around.running():
+        met = reach(Address(*around.where))
+        assert met is not None and met.listener is not None
+        assert met.listener.getsockname() == around.where
+        met.listener.close()
+        met.line.end()
