--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 
 import msgspec
 import pytest
@@ -39,6 +40,15 @@
     peering.timeline.run(peering.timeline.now + round(seconds * SECOND))    # type: ignore[attr-defined]
 
 
+def stopped(peering: Peering, numbers: Iterable[int], seconds: float) -> None:
+    hit = list(numbers)
+    for number in hit:
+        peering.stop(number)
+    run(peering, seconds)
+    for number in hit:
+        peering.go_on(number)
+
+
 def told(peering: Peering, what: str) -> str:
     took = until_right(peering)
     counts = " ".join(f"{name.replace(' ', '_')} {count}" for name, count in sorted(peering.counts.items()))
@@ -58,17 +68,9 @@
     run(peering, 0.01)
     peering.start(8)
     lines.append(told(peering, "one is back within 10 ms"))
-    for number in (2, 9):
-        peering.stop(number)
-    run(peering, 3)
-    for number in (2, 9):
-        peering.go_on(number)
+    stopped(peering, (2, 9), 3)
     lines.append(told(peering, "two were stopped for 3 s"))
-    for number in range(20):
-        peering.stop(number)
-    run(peering, 30)
-    for number in range(20):
-        peering.go_on(number)
+    stopped(peering, range(20), 30)
     lines.append(told(peering, "all were stopped for 30 s"))
     heal = links.cut(range(10), range(10, 20))
     run(peering, 60)
