A sidecar says that it has started once it can be replaced

The line `started` went out before the socket for the next process was bound, so that whoever waited for that line and replaced the process at once found nobody to hand over to, and began from nothing. The socket is bound before the line now; who connects in between waits in its queue, as before. The test that failed is the one that holds it.

--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -90,6 +90,8 @@
     gc.freeze()
     gc.set_threshold(10_000)  # what ends with a submission is freed with it; little is left to collect
     host, port = clients.listener.getsockname()[:2]
+    if operators is not None:
+        succession.offer()  # before it says that it has started: whoever waited for that may replace it at once
     log.event("started", listen=f"{host}:{port}", operators=operators.where if operators else "",
               servers=len(known.entries), from_clients=config.from_clients, to_servers=config.to_servers,
               checks="asserted" if __debug__ else "counted", form=compiled.FORM,
@@ -98,7 +100,6 @@
     if operators is not None:
         if before is not None:
             succession.follow(before.line)
-        succession.offer()
         start(operators.run)
     while signal.sigwait(signals) == signal.SIGHUP:
         config = reload(config, path, dispatcher, watcher, log)
