--- a/pumicepath/admin/calls.py
+++ b/pumicepath/admin/calls.py
@@ -17,11 +17,12 @@
     IN = "ready"
     FAIL = "fail"
     OK = "ok"
+    RESIGN = "resign"
 
 
 class Asked(NamedTuple):
     call: Call
-    server: str = ""
+    server: str = ""        # or duty
 
 
 # By path; what stands there is changed by PUT, and read by GET or HEAD.
@@ -41,6 +42,8 @@
         asked = Asked(CHANGE[path])
     elif len(path) == 3 and path[0] == "servers" and path[1] and path[2] in SERVER:
         asked = Asked(SERVER[path[2]], unquote(path[1]))
+    elif len(path) == 4 and path[:2] == ("peers", "duties") and path[2] and path[3] == "resign":
+        asked = Asked(Call.RESIGN, unquote(path[2]))
     else:
         raise Malformed(404, "no such call")
     if request.method not in allowed:
--- a/pumicepath/commands/peers.py
+++ b/pumicepath/commands/peers.py
@@ -1,4 +1,4 @@
-"""`peers`: what one sidecar sees of its fleet."""
+"""`peers`: what one sidecar sees of its fleet, and who holds which duty."""
 
 from __future__ import annotations
 
@@ -9,11 +9,11 @@
 LONGEST_S = 5.0
 
 
-def asked(address: str) -> bytes:
+def called(address: str, method: str, path: str) -> bytes:
     import http.client
     connection = http.client.HTTPConnection(address, timeout=LONGEST_S)
     try:
-        connection.request("GET", "/peers")
+        connection.request(method, path)
         answer = connection.getresponse()
         body = answer.read()
     finally:
@@ -26,13 +26,17 @@
 @click.command()
 @click.argument("address")
 @click.option("--json", "as_json", is_flag=True, help="The view as the sidecar tells it, one object.")
-def peers(address: str, as_json: bool) -> None:
+@click.option("--resign", metavar="DUTY", help="Take a duty away from this sidecar; another claims it.")
+def peers(address: str, as_json: bool, resign: str | None) -> None:
     """Print what the sidecar with this operators' address (host:port) sees of its fleet."""
     import http.client
+    from urllib.parse import quote
 
     import orjson
     try:
-        body = asked(address)
+        if resign is not None:
+            called(address, "PUT", f"/peers/duties/{quote(resign, safe='')}/resign")
+        body = called(address, "GET", "/peers")
         told = orjson.loads(body)
     except (OSError, http.client.HTTPException, ValueError) as trouble:
         fail(f"{address}: {trouble}")
@@ -44,6 +48,14 @@
                f"{figures['peers_alive']} alive, {figures['peers_suspected']} suspected; the fleet counts "
                f"{figures.get('fleet_least', 1)} heard of late, {figures.get('fleet_likely', 1)} likely, "
                f"{figures.get('fleet_most', 1)} with those that may be cut off")
+    for one in told.get("holds", []):
+        click.echo(f"  holds {one['duty']}, number {one['number']}, {one['left_s']:.1f} s left")
+    if "granted" in told:
+        silent = f", silent for {told['silent_s']:.1f} s more" if told["silent_s"] else ""
+        click.echo(f"  votes{silent}")
+        for one in told["granted"]:
+            click.echo(f"    {one['duty']}: {one['holder']}, number {one['number']}, "
+                       f"{one['left_s']:.1f} s left")
     for one in sorted(told["peers"], key=lambda one: (one["name"], one["born"])):
         heard = "never heard" if one["heard_s"] is None else f"heard {one['heard_s']:.1f} s ago"
         by = f", told by {one['by']}" if one["by"] else ""
--- a/pumicepath/fleet/duties.py
+++ b/pumicepath/fleet/duties.py
@@ -18,9 +18,10 @@
 from typing import NamedTuple, Protocol
 
 from .leases import Answer, Verdict, held_for, named
+from .messages import batches
 
 RENEW_AT = 3                # of a lease's time: renewed after a third, so that two renewals may be lost
-OF_MESSAGE = 24             # duties in one message to a voter
+OF_GRANT = 30               # bytes of an answer besides the name; a claim takes fewer
 OWN_BITS = 16               # of a number, by which lives differ
 WALL = (1 << 45) - 1        # milliseconds that fit above them, for a thousand years
 
@@ -116,7 +117,10 @@
             del self.duties[name]
 
     def due(self) -> int | None:
-        return min((one.next for one in self.duties.values()), default=None)
+        times = [one.until for one in self.duties.values() if one.until]
+        if self.fit:
+            times += [one.next for one in self.duties.values() if one.wanted or one.until]
+        return min(times, default=None)
 
     # -- claims
 
@@ -129,8 +133,8 @@
                 self.outlet.holds(one.name, 0, "its time is over")
             if now >= one.next and self.fit and (one.wanted or one.until):
                 ready.append(one)
-        for at in range(0, len(ready), OF_MESSAGE):
-            self.ask(now, wall_ms, ready[at:at + OF_MESSAGE])
+        for batch in batches(ready, lambda one: one.name, OF_GRANT):
+            self.ask(now, wall_ms, batch)
 
     def ask(self, now: int, wall_ms: int, ready: Sequence[Duty]) -> None:
         self.rounds += 1
@@ -153,7 +157,7 @@
         if one is None:
             return
         one.highest = max(one.highest, answer.highest)
-        if one.round != round_ or one.number != number or voter not in self.given.voters():
+        if one.round != round_ or not round_ or one.number != number or voter not in self.given.voters():
             return              # of an earlier round, whose grants count for nothing
         if answer.verdict == Verdict.GRANTED:
             one.granted.add(voter)
@@ -176,7 +180,7 @@
 
         Guards against claims of several that each have a part of the voters, again and again.
         """
-        self.tell_voters(one)
+        self.tell_voters([one])
         lease = self.given.lease
         later = answer.wait if answer.verdict in (Verdict.TAKEN, Verdict.SILENT) else 0
         one.next = now + min(later, 2 * lease) + self.chance.randrange(max(1, lease // 10))
@@ -191,17 +195,19 @@
     # -- giving up
 
     def resign(self, now: int, name: str, why: str) -> None:
-        """Another may have it at once."""
+        """Another may have it at once; not claimed again here for a lease."""
         one = self.duties.get(name)
-        if one is None:
-            return
-        held = now < one.until
-        one.until = 0
-        self.tell_voters(one)
-        one.number, one.round = max(one.number, one.highest), 0
-        one.next = now + self.given.lease
-        if held:
-            self.outlet.holds(name, 0, why)
+        if one is not None:
+            self.resign_all(now, [one], why)
+
+    def resign_all(self, now: int, given_up: Sequence[Duty], why: str) -> None:
+        self.tell_voters(given_up)
+        for one in given_up:
+            held, one.until = now < one.until, 0
+            one.number, one.round = max(one.number, one.highest), 0
+            one.next = now + self.given.lease
+            if held:
+                self.outlet.holds(one.name, 0, why)
 
     def outbid(self, now: int, name: str, highest: int) -> None:
         """Whoever is acted on knows a higher number: this one is of no use, and another is claimed."""
@@ -211,20 +217,27 @@
             self.resign(now, name, "a higher number is known")
             one.next = now
 
-    def tell_voters(self, one: Duty) -> None:
-        if one.number:
+    def tell_voters(self, given_up: Sequence[Duty]) -> None:
+        claims = [Claim(one.name, one.number, True) for one in given_up if one.number]
+        for batch in batches(claims, lambda one: one.duty, OF_GRANT):
             for voter in self.given.voters():
-                self.outlet.claim(voter, 0, [Claim(one.name, one.number, True)])
+                self.outlet.claim(voter, 0, batch)
 
     def unfit(self, now: int, why: str) -> None:
         """This sidecar is late, ends, or can't do what duties ask: all are given up, none is claimed."""
-        self.fit = False
-        for one in list(self.duties.values()):
-            self.resign(now, one.name, why)
+        if self.fit:
+            self.fit = False
+            self.resign_all(now, list(self.duties.values()), why)
 
     def recovered(self) -> None:
         self.fit = True
 
     def adopt(self, now: int, given: Given) -> None:
-        """Other voters: what is held stays so until its end, and is renewed by the new sets alone."""
-        self.given = given
+        """Other voters: what is held stays so until its end, and is renewed by the new sets alone.
+
+        Claims under way were made to the old ones, and count for nothing.
+        """
+        if given != self.given:
+            self.given = given
+            for one in self.duties.values():
+                one.round, one.next = 0, now
--- a/pumicepath/fleet/leases.py
+++ b/pumicepath/fleet/leases.py
@@ -110,6 +110,11 @@
         if grant is not None and (grant.holder, grant.number) == (holder, number):
             del self.grants[duty]
 
+    def granted(self, now: int) -> list[tuple[str, int, int, int]]:
+        """Duty, holder, number and microseconds left of what is granted."""
+        return [(duty, one.holder, one.number, one.until - now) for duty, one in self.grants.items()
+                if now < one.until]
+
     def forget(self, now: int) -> bool:
         """Room for another duty: that of one whose grant has ended; its number then holds for all."""
         for duty, grant in self.grants.items():
--- a/pumicepath/fleet/messages.py
+++ b/pumicepath/fleet/messages.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from collections.abc import Callable, Iterator, Sequence
+from typing import Annotated, TypeVar
 from zlib import crc32
 
 import msgspec
@@ -18,6 +19,8 @@
 VERSION = 1
 LONGEST = 1400              # bytes of a datagram: whole on a way with an MTU of 1,500
 HEAD = 5
+ROOM = 1150                 # bytes of a datagram behind the sender's own record, with the longest names
+OF_BATCH = 24
 ALIVE, SUSPECTED, DEAD, LEFT = range(4)
 STATES = ("alive", "suspected", "dead", "left")
 
@@ -124,7 +127,26 @@
     grants: Annotated[list[Granted], Meta(max_length=64)]
 
 
-Any = Ping | Ack | Reach | Passed | Want | Page | News | Claims | Grants
+class Verdict(msgspec.Struct, array_like=True, frozen=True):
+    """What the trial of a server came to, or that it is in one sidecar's hands; the newest word counts.
+
+    `number` is that of the duty, `count` of the words under it; `wait` is microseconds that nobody else need
+    try it for, 0 where it has served.
+    """
+
+    server: Name
+    number: Id
+    count: Count
+    wait: Annotated[int, Meta(ge=0, le=60_000_000)]
+
+
+class Tried(Message, tag=10, frozen=True):
+    """Of the sender's zone, and told on within it."""
+
+    verdicts: Annotated[list[Verdict], Meta(max_length=64)]
+
+
+Any = Ping | Ack | Reach | Passed | Want | Page | News | Claims | Grants | Tried
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Any)
 
@@ -159,6 +181,23 @@
     return message
 
 
+Item = TypeVar("Item")
+
+
+def batches(items: Sequence[Item], name: Callable[[Item], str], besides: int) -> Iterator[list[Item]]:
+    """As many as go into a message at a time: the bytes of each one's name, and `besides` for the rest."""
+    batch: list[Item] = []
+    room = ROOM
+    for each in items:
+        room -= len(name(each).encode()) + besides
+        if batch and (room < 0 or len(batch) >= OF_BATCH):
+            yield batch
+            batch, room = [], ROOM - len(name(each).encode()) - besides
+        batch.append(each)
+    if batch:
+        yield batch
+
+
 def sealed(fleet: str) -> int:
     return crc32(fleet.encode())
 
--- a/pumicepath/fleet/settings.py
+++ b/pumicepath/fleet/settings.py
@@ -6,15 +6,33 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 LONGEST_NAME = 64           # bytes of names in messages
 MOST_SEEDS = 16
 TIMEOUT_PART = 0.3          # of the period, where the file has no time-out
 KEYS = ("listen", "seeds", "advertise", "fleet", "everyS", "timeoutS", "most")
+OF_DUTIES = ("voters", "votersBefore", "leaseS", "longestS", "drift", "trials")
 ENVIRONMENT = {"listen": "GW_PEERS_LISTEN", "seeds": "GW_PEERS_SEEDS", "advertise": "GW_PEERS_ADVERTISE"}
-RANGES = {"everyS": (0.05, 60.0), "timeoutS": (0.01, 30.0), "most": (1, 20_000)}
+RANGES = {"everyS": (0.05, 60.0), "timeoutS": (0.01, 30.0), "most": (1, 20_000), "leaseS": (0.5, 60.0),
+          "longestS": (0.5, 300.0), "drift": (0.0, 0.1)}
+VOTERS = (1, 3, 5)
+
+
+@dataclass(frozen=True)
+class Voting:
+    """Who grants duties: a claim needs a majority of each of `sets`; times in microseconds, `drift` a share.
+
+    `longest` is the longest lease that a voter here grants, and what it is silent for after a start.
+    `trials` has the trials of a sick server made by one sidecar of each zone at a time.
+    """
+
+    sets: tuple[tuple[str, ...], ...]
+    lease: int = 10_000_000
+    longest: int = 10_000_000
+    drift: float = 0.01
+    trials: bool = False
 
 
 @dataclass(frozen=True)
@@ -32,6 +50,11 @@
     every: int = 1_000_000
     timeout: int = 300_000
     most: int = 4096
+    voting: Voting | None = None
+
+    def lasting(self) -> PeerSettings:
+        """What is read at the start only; the rest is taken as the file changes."""
+        return replace(self, voting=None)
 
 
 def decode(told: Any, environment: Mapping[str, str]) -> PeerSettings:
@@ -44,8 +67,8 @@
             parts = [each.strip() for each in environment[name].split(",")]
             given[key] = [each for each in parts if each] if key == "seeds" else parts[0]
     for key in given:
-        if key not in KEYS:
-            raise ValueError(f"peers.{key}: unknown; there are {', '.join(KEYS)}")
+        if key not in KEYS + OF_DUTIES:
+            raise ValueError(f"peers.{key}: unknown; there are {', '.join(KEYS + OF_DUTIES)}")
     if "listen" not in given:
         raise ValueError("peers.listen is missing")
     seeds = given.get("seeds", [])
@@ -70,7 +93,33 @@
     if 2 * timeout > every:
         raise ValueError(f"peers.timeoutS: {timeout:g} is over half of everyS: no time is left to ask others")
     return PeerSettings(listen, tuple(seeds), advertise, fleet, round(every * 1e6), round(timeout * 1e6),
-                        given.get("most", PeerSettings.most))
+                        given.get("most", PeerSettings.most), voting(given))
+
+
+def voting(given: Mapping[str, Any]) -> Voting | None:
+    """Of the keys of duties, whose numbers have been checked; None where nobody votes."""
+    if "voters" not in given:
+        for key in OF_DUTIES:
+            if key in given:
+                raise ValueError(f"peers.{key}: there are no voters")
+        return None
+    sets = [voters("voters", given["voters"])]
+    if "votersBefore" in given:
+        sets.append(voters("votersBefore", given["votersBefore"]))
+    trials = given.get("trials", False)
+    if not isinstance(trials, bool):
+        raise ValueError(f"peers.trials: {trials!r} is not true or false")
+    lease = round(float(given.get("leaseS", 10.0)) * 1e6)
+    longest = round(float(given["longestS"]) * 1e6) if "longestS" in given else lease
+    if longest < lease:
+        raise ValueError(f"peers.longestS: {longest / 1e6:g} is shorter than leaseS")
+    return Voting(tuple(sets), lease, longest, float(given.get("drift", Voting.drift)), trials)
+
+
+def voters(key: str, told: Any) -> tuple[str, ...]:
+    if not isinstance(told, list) or len(told) not in VOTERS or len(set(map(str, told))) != len(told):
+        raise ValueError(f"peers.{key} is no list of {', '.join(map(str, VOTERS))} different addresses")
+    return tuple(reachable(f"peers.{key}[{at}]", each) for at, each in enumerate(told))
 
 
 def checked(key: str, text: Any) -> str:
--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -137,3 +137,15 @@
     def wake(self, at: int, whom: Wakeable) -> None: ...
 
     def log(self, text: str) -> None: ...
+
+
+class Companions(Protocol):
+    """What other sidecars have to do with breakers; asked under the host's lock, it waits for nothing."""
+
+    def turn(self, name: str) -> bool:
+        """Whether the half-open trial of the server with this name is this sidecar's to make."""
+
+    def opened(self, name: str, cooldown: int) -> None: ...
+
+    def tried(self, name: str, failed: bool) -> None:
+        """The verdict of a trial made here; when it has failed, `opened` follows."""
--- a/pumicepath/lab/loopback/ground.py
+++ b/pumicepath/lab/loopback/ground.py
@@ -44,6 +44,9 @@
     def peers_of(self, sidecar: int) -> Sequence[str]:
         """The addresses that it is told as seeds."""
 
+    def voters(self) -> Sequence[str]:
+        """The addresses of those that vote."""
+
     def speaks(self, sidecar: int, where: tuple[str, int]) -> None:
         """A process of it has begun, whose own socket for peers is there."""
 
--- a/pumicepath/lab/loopback/sidecars.py
+++ b/pumicepath/lab/loopback/sidecars.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from random import Random
 from typing import Any
+from urllib.parse import quote
 
 import orjson
 
@@ -129,7 +130,9 @@
         command = ["-m", "pumicepath", "serve"]
         if plan.sidecars.peers:
             config["peers"] = {"listen": "127.0.0.1:0", "advertise": world.front(self.number),
-                               "seeds": world.peers_of(self.number), "everyS": plan.sidecars.peers_every_s}
+                               "seeds": world.peers_of(self.number), "everyS": plan.sidecars.peers_every_s,
+                               **({"voters": world.voters(), "leaseS": plan.sidecars.lease_s, "trials": True}
+                                  if plan.sidecars.trials else {})}
             config["admin_addr"] = "127.0.0.1:0"
             environment["TMPDIR"] = str(self.state.folder)
         if self.page is not None:
@@ -240,19 +243,30 @@
 
     async def asked(self, path: str, longest_s: float = 1.0) -> dict[str, Any] | None:
         """What the sidecar says of itself at its operators' address; None if it does not, in time."""
+        data = await self.called("GET", path, longest_s)
+        try:
+            told: dict[str, Any] = orjson.loads(data.partition(b"\r\n\r\n")[2])
+            return told
+        except ValueError:
+            return None
+
+    async def resigned(self, duty: str, longest_s: float = 5.0) -> bool:
+        """Take a duty away from it; whether it held it."""
+        data = await self.called("PUT", f"/peers/duties/{quote(duty, safe='')}/resign", longest_s)
+        return data.startswith(b"HTTP/1.1 200")
+
+    async def called(self, method: str, path: str, longest_s: float) -> bytes:
         async def ask() -> bytes:
             reader, writer = await asyncio.open_connection(*self.operators)
             try:
-                writer.write(writing.request("GET", path, [("Host", "operators")]))
+                writer.write(writing.request(method, path, [("Host", "operators")]))
                 return await reader.read()
             finally:
                 writer.close()
         try:
-            data = await asyncio.wait_for(ask(), longest_s)
-            told: dict[str, Any] = orjson.loads(data.partition(b"\r\n\r\n")[2])
-            return told
-        except (TimeoutError, OSError, ValueError):
-            return None
+            return await asyncio.wait_for(ask(), longest_s)
+        except (TimeoutError, OSError):
+            return b""
 
     # -- its clients
 
--- a/pumicepath/lab/loopback/world.py
+++ b/pumicepath/lab/loopback/world.py
@@ -28,7 +28,7 @@
 MOST_BEHIND_MS = 25.0       # ticks later than this mean that the stand-ins, not the sidecars, were too slow
 KEPT_LINES = 2000
 LOOK_S = 0.5                # between two looks at what sidecars see of each other
-SEEDS = 3
+SEEDS = VOTERS = 3
 
 
 class Void(Exception):
@@ -88,6 +88,10 @@
     def peers_of(self, sidecar: int) -> list[str]:
         return [self.front(each) for each in range(min(SEEDS, self.plan.sidecars.count)) if each != sidecar]
 
+    def voters(self) -> list[str]:
+        """The first sidecars vote, where there are duties."""
+        return [self.front(each) for each in range(VOTERS if self.plan.sidecars.count >= VOTERS else 1)]
+
     def front(self, sidecar: int) -> str:
         return self.relays.addresses[sidecar]
 
--- a/pumicepath/lab/model/world.py
+++ b/pumicepath/lab/model/world.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol
 
 from ...interface import Entry, Phase, Settings
 from ...settings import decode
@@ -68,6 +68,8 @@
 
     def start(self, number: int) -> None: ...
 
+    def accompany(self, number: int, decisions: Any) -> None: ...
+
     def kill(self, number: int) -> None: ...
 
 
--- a/pumicepath/lab/spec.py
+++ b/pumicepath/lab/spec.py
@@ -48,6 +48,14 @@
     advice_s: Time = 2.0            # the longest advice when to come back; 0: none is given
     peers: bool = False             # whether they speak with each other
     peers_every_s: Positive = 1.0   # between two probes of each
+    trials: bool = False            # whether one sidecar of a hall tries a sick server for all of them
+    lease_s: Annotated[float, Field(ge=0.5, le=60.0)] = 10.0    # of duties
+
+    @model_validator(mode="after")
+    def agreeing(self) -> Sidecars:
+        if self.trials and not self.peers:
+            raise ValueError("trials needs peers = true")
+        return self
 
 
 class Tariff(Part):
--- a/pumicepath/lab/virtual/peers.py
+++ b/pumicepath/lab/virtual/peers.py
@@ -6,16 +6,21 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
+from typing import Any
 
 from ...fleet import messages
+from ...fleet.fellow import Fellow
 from ...fleet.membership import Membership
 from ...fleet.messages import STATES, Record
-from ...fleet.settings import PeerSettings
+from ...fleet.settings import PeerSettings, Voting
+from ...logic import Balancer
 from ..model.links import Links
 from ..model.timeline import Timeline, chance
 from ..model.views import right
 
 SEEDS = 3
+ORIGIN = 86_400_000_000     # of the sidecars' clocks
 QUEUE = 200                 # datagrams that a stopped one's socket holds
 
 
@@ -32,10 +37,15 @@
         self.name = f"sidecar-{number}"
         self.address = address(number)
         self.starts = 0
-        self.membership: Membership | None = None
+        self.fellow: Fellow | None = None
         self.stopped = False
         self.queue: list[tuple[str, bytes]] = []
         self.wake_at = -1
+        self.told: Callable[[int, int], None] = lambda server, wait: None
+
+    @property
+    def membership(self) -> Membership | None:
+        return self.fellow.membership if self.fellow is not None else None
 
     def start(self) -> None:
         peering = self.peering
@@ -43,13 +53,13 @@
         own = chance(peering.seed, "peer", self.number, self.starts)
         seeds = tuple(address(each) for each in peering.seeds if each != self.number)
         settings = PeerSettings(self.address, seeds, every=peering.every, timeout=peering.timeout,
-                                most=peering.most)
-        me = Record(self.name, own.getrandbits(62) | 1, self.address, "a")
-        self.membership = Membership(me, settings, own.getrandbits(63), self, self.clock())
+                                most=peering.most, voting=peering.voting)
+        me = Record(self.name, own.getrandbits(62) | 1, self.address, peering.zone(self.number))
+        self.fellow = Fellow(me, settings, own.getrandbits(63), self, self.clock())
         self.wake()
 
     def clock(self) -> int:
-        return self.peering.timeline.now + 86_400_000_000
+        return self.peering.timeline.now + ORIGIN
 
     def post(self, address: str, message: messages.Any) -> None:
         self.peering.send(self, address, messages.packed(message, 0))
@@ -64,30 +74,30 @@
         if self.stopped:
             if len(self.queue) < QUEUE:
                 self.queue.append((source, data))
-        elif self.membership is not None:
+        elif self.fellow is not None:
             try:
                 message = messages.unpacked(data, 0)
             except (messages.Foreign, messages.Noise):
                 self.peering.counts["noise"] += 1
                 return
-            self.membership.heard(self.clock(), source, message)
+            self.fellow.heard(self.clock(), source, message)
             self.wake()
 
     def wake(self) -> None:
         """Have `woke` called when it is due, once."""
-        if self.membership is None:
+        if self.fellow is None:
             return
-        due = self.membership.due() - 86_400_000_000
+        due = self.fellow.due() - ORIGIN
         if self.wake_at < 0 or due < self.wake_at:
             self.wake_at = due
             self.peering.timeline.at(due, self.woke, self.starts, due)
 
     def woke(self, starts: int, due: int) -> None:
-        if starts != self.starts or due != self.wake_at or self.membership is None:
+        if starts != self.starts or due != self.wake_at or self.fellow is None:
             return
         self.wake_at = -1
         if not self.stopped:
-            self.membership.woke(self.clock())
+            self.fellow.woke(self.clock(), self.wall_ms())
             self.wake()
 
     def go_on(self) -> None:
@@ -95,24 +105,58 @@
         queue, self.queue = self.queue, []
         for source, data in queue:
             self.came(source, data)
-        if self.membership is not None:
-            self.membership.woke(self.clock())
+        if self.fellow is not None:
+            self.fellow.woke(self.clock(), self.wall_ms())
             self.wake_at = -1
             self.wake()
 
+    # -- trials: the balancer's companions, and what others say to it
+
+    def wall_ms(self) -> int:
+        return 1_800_000_000_000 + self.peering.timeline.now // 1000
+
+    def holds(self, duty: str, number: int, why: str) -> None:
+        self.peering.counts["duties won" if number else "duties lost"] += 1
+
+    def put_off(self, server: str, wait: int) -> None:
+        self.peering.counts["put off" if wait else "brought forward"] += 1
+        self.told(int(server), wait)
+
+    def turn(self, name: str) -> bool:
+        fellow = self.fellow
+        return fellow is not None and fellow.trials is not None and fellow.duties is not None and bool(
+            fellow.duties.number(self.clock(), fellow.trials.duty(name)))
+
+    def opened(self, name: str, cooldown: int) -> None:
+        if self.fellow is not None and self.fellow.trials is not None:
+            self.fellow.trials.opened(self.clock(), name, cooldown)
+            self.wake()
+
+    def tried(self, name: str, failed: bool) -> None:
+        self.peering.counts["trials failed" if failed else "trials served"] += 1
+        if self.fellow is not None and self.fellow.trials is not None:
+            self.fellow.trials.tried(self.clock(), name, failed)
+            self.wake()
+
 
 class Peering:
     def __init__(self, timeline: Timeline, links: Links, seed: int, count: int, every: int = 1_000_000,
-                 timeout: int = 300_000, most: int = 4096) -> None:
+                 timeout: int = 300_000, most: int = 4096, voting: Voting | None = None,
+                 zones: int = 1) -> None:
         self.timeline = timeline
         self.links = links
         self.seed = seed
         self.every, self.timeout, self.most = every, timeout, most
+        self.voting = voting
+        self.zones = zones
         self.seeds = tuple(range(min(SEEDS, count)))
         self.nodes = [Node(self, number) for number in range(count)]
         self.by_address = {node.address: node for node in self.nodes}
         self.counts: Counter[str] = Counter()
 
+    def zone(self, number: int) -> str:
+        return chr(ord("a") + number % self.zones)
+
     def send(self, node: Node, address: str, data: bytes) -> None:
         other = self.by_address.get(address)
         if other is not None:
@@ -128,9 +172,16 @@
     def start(self, number: int) -> None:
         self.nodes[number].start()
 
+    def accompany(self, number: int, decisions: Any) -> None:
+        """Have the trials of these decisions agreed on, where the fleet does so."""
+        if self.voting is not None and self.voting.trials and isinstance(decisions, Balancer):
+            node = self.nodes[number]
+            decisions.companions = node
+            node.told = lambda server, wait: decisions.put_off(self.timeline.now, server, wait)
+
     def kill(self, number: int) -> None:
         node = self.nodes[number]
-        node.membership, node.stopped, node.queue, node.wake_at = None, False, [], -1
+        node.fellow, node.stopped, node.queue, node.wake_at = None, False, [], -1
 
     def stop(self, number: int) -> None:
         self.nodes[number].stopped = True
--- a/pumicepath/lab/virtual/run.py
+++ b/pumicepath/lab/virtual/run.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from ...fleet.settings import TIMEOUT_PART
+from ...fleet.settings import TIMEOUT_PART, Voting
 from ...interface import Settings
 from ...logic import Balancer
 from ..model.links import Links
@@ -16,13 +16,14 @@
 from ..spec import Plan, micros
 from ..troubles import KINDS
 from .baselines import TEXTBOOK, Plain, oracle
-from .peers import Peering
+from .peers import Peering, address
 from .sidecar import Maker, Sidecar
 
 OURS = "pumicepath"
 ORACLE = "oracle"
 POLICIES = (OURS, ORACLE, *TEXTBOOK)
 LAST_WORDS = 2 * SECOND         # after the longest patience: what is still out then ends
+VOTERS = 3
 LOOKED_AT = 50                  # sidecars whose breakers are sampled for the picture
 
 
@@ -43,7 +44,8 @@
             self.links = Links(self.timeline, seed, self.network.near)
             every = micros(plan.sidecars.peers_every_s)
             self.peering = Peering(self.timeline, self.links, seed, plan.sidecars.count, every,
-                                   round(every * TIMEOUT_PART))
+                                   round(every * TIMEOUT_PART), voting=self.voting(),
+                                   zones=plan.fleet.halls)
         halls = plan.fleet.halls
         for number in range(plan.sidecars.count):
             hall = number % halls
@@ -57,6 +59,15 @@
     def settings_of(self, number: int, hall: int) -> Settings:
         return dataclasses.replace(self.settings[hall], me=number)
 
+    def voting(self) -> Voting | None:
+        """The first sidecars vote, where there are duties."""
+        asked = self.plan.sidecars
+        if not asked.trials:
+            return None
+        lease = micros(asked.lease_s)
+        return Voting((tuple(address(each) for each in range(VOTERS if asked.count >= VOTERS else 1)),),
+                      lease, lease, trials=True)
+
     def decisions(self, policy: str) -> Maker:
         if policy == OURS:
             return Balancer
--- a/pumicepath/lab/virtual/sidecar.py
+++ b/pumicepath/lab/virtual/sidecar.py
@@ -117,6 +117,7 @@
         self.world.registry.join(self.number, self)
         if self.world.peering is not None:
             self.world.peering.start(self.number)
+            self.world.peering.accompany(self.number, self.decisions)
 
     def kill(self) -> None:
         """Killed at once: its clients and servers see connections end."""
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -13,7 +13,7 @@
 from dataclasses import replace
 from heapq import heapify, heappop, nsmallest
 
-from .interface import Effect, Entry, Group, Listing, Outcome, Outlet, Phase, Settings, Tariff
+from .interface import Companions, Effect, Entry, Group, Listing, Outcome, Outlet, Phase, Settings, Tariff
 
 CLOSED, OPEN, HALF_OPEN = range(3)
 MASK = (1 << 64) - 1
@@ -340,6 +340,7 @@
     def __init__(self, settings: Settings, seed: int, outlet: Outlet) -> None:
         self.settings = settings
         self.outlet = outlet
+        self.companions: Companions | None = None
         self.chance = Chance(seed)
         # The list, under a small dense index that a server keeps while it is listed or a hop to it is out.
         self.index: dict[int, int] = {}
@@ -942,6 +943,9 @@
             return True
         if self.state[at] == OPEN:
             waited = now - self.since[at] - self.cooldown[at]
+            if self.companions is not None and 0 <= waited < self.cooldown[at]:
+                # Another may have its trial in hand; after a Cooldown without word this one tries alone.
+                return not unrepeatable and self.companions.turn(self.names[at])
             # Trials are hops that may be sent again, unless none has come for another Cooldown.
             return waited >= (self.cooldown[at] if unrepeatable else 0)
         if self.trials[at] < HALF_OPEN_TRIALS:
@@ -989,6 +993,15 @@
         self.generation[at] += 1
         self.trials[at] = self.fails[at] = 0
         self.outlet.log(f"server {self.names[at]} open for {self.cooldown[at] / 1e6:.1f} s: {cause}")
+        if self.companions is not None:
+            self.companions.opened(self.names[at], self.cooldown[at])
+
+    def put_off(self, now: int, server: int, wait: int) -> None:
+        """Others' word on an open breaker: its trial is put off by as long, or with 0 may be made at once."""
+        at = self.index.get(server, -1)
+        if at >= 0 and self.state[at] == OPEN:
+            self.since[at] = max(self.since[at], now + wait - self.cooldown[at]) if wait else (
+                now - 2 * self.cooldown[at])
 
     def verdict(self, now: int, hop: Hop, failed: bool, cause: str) -> None:
         at = hop.server
@@ -999,6 +1012,8 @@
             self.ill[at] += 0.1 * (failed - self.ill[at])
         if hop.trial and self.state[at] == HALF_OPEN:
             self.trials[at] -= 1
+            if self.companions is not None:
+                self.companions.tried(self.names[at], failed)
             if failed:
                 self.trip(now, at, f"trial failed, {cause}")
             else:
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -12,7 +12,7 @@
 from ..http1 import writing
 from ..http1.messages import Response
 from ..http1.parsing import ResponseParser
-from ..interface import Listing, Outcome, Wakeable
+from ..interface import Companions, Listing, Outcome, Wakeable
 from ..invariants import must
 from ..logic import Balancer, Submission, Terms
 from . import answers, clock
@@ -335,6 +335,16 @@
         self.decide(call)
         return bool(done)
 
+    def accompany(self, companions: Companions | None) -> None:
+        """Have trials of sick servers agreed on with other sidecars, or each one's own again."""
+        def call(now: int) -> None:
+            self.balancer.companions = companions
+        self.decide(call)
+
+    def put_off(self, server: int, wait: int) -> None:
+        """What another sidecar says of a server whose breaker may be open here."""
+        self.decide(lambda now: self.balancer.put_off(now, server, wait))
+
     def handed(self) -> tuple[dict[int, int], dict[int, int]]:
         """The servers out by hand and those back that may be cold, with the times since when."""
         def call(now: int) -> None:
--- a/pumicepath/sidecar/operators.py
+++ b/pumicepath/sidecar/operators.py
@@ -31,6 +31,7 @@
 DONE = answers.plain(200, "done")
 SERVING = answers.plain(200, "serving")
 NO_SERVER = answers.plain(404, "no such server")
+NOT_HELD = answers.plain(404, "this sidecar does not hold that duty")
 NO_PEERS = answers.plain(404, "no peers in the configuration")
 
 
@@ -137,6 +138,11 @@
                     return NO_PEERS
                 return answers.Answer(200, [("Content-Type", "application/json")],
                                       orjson.dumps(self.peers.view(), option=orjson.OPT_APPEND_NEWLINE))
+            case Call.RESIGN:
+                if self.peers is None:
+                    return NO_PEERS
+                if not self.peers.take_away(asked.server):
+                    return NOT_HELD
             case Call.OUT | Call.IN:
                 out = asked.call == Call.OUT
                 if not dispatcher.by_hand(asked.server, out):
--- a/pumicepath/sidecar/peers.py
+++ b/pumicepath/sidecar/peers.py
@@ -1,6 +1,7 @@
 """The thread that speaks with other sidecars: one UDP socket, datagrams to messages; nothing decided.
 
-`Peers` is made only where the file has `peers`; `run` is its thread, `figures` and `view` are for operators.
+`Peers` is made only where the file has `peers`; `run` is its thread, `figures` and `view` are for operators,
+`companions` for the balancer's breakers.
 """
 
 from __future__ import annotations
@@ -8,15 +9,19 @@
 import os
 import socket
 import threading
-from collections import Counter
+from collections import Counter, deque
+from collections.abc import Callable
 from contextlib import suppress
-from time import monotonic, sleep
+from time import monotonic, sleep, time_ns
 from typing import Any
 
+from ..discovery.roster import stable
 from ..fleet import messages
-from ..fleet.membership import Membership, Seen
+from ..fleet.fellow import Fellow
+from ..fleet.membership import Seen
 from ..fleet.messages import STATES, Record
-from ..fleet.settings import PeerSettings
+from ..fleet.settings import PeerSettings, Voting
+from ..fleet.trials import Trials
 from . import clock
 from .log import Log
 
@@ -25,6 +30,30 @@
 LINE_S = 1.0                # between two such lines
 BIND_AGAIN_S = 0.1
 LONGEST_READ = messages.LONGEST + 1
+MOST_WORDS = 4096           # of the balancer that wait for the thread: more than it says in its longest pause
+LONGEST_PAUSE = 0.1         # seconds that a word of the balancer waits
+
+
+class Companions:
+    """Between the balancer's lock and the gate of peers, neither of which may wait for the other.
+
+    The balancer asks and tells under its lock; the thread of peers takes what was `said`, and sets `turns`.
+    """
+
+    def __init__(self) -> None:
+        self.said: deque[Callable[[Trials], None]] = deque(maxlen=MOST_WORDS)
+        self.turns: dict[str, int] = {}         # until when, by the servers' names; replaced as one
+
+    def turn(self, name: str) -> bool:
+        return clock.now() < self.turns.get(name, 0)
+
+    def opened(self, name: str, cooldown: int) -> None:
+        now = clock.now()
+        self.said.append(lambda trials: trials.opened(now, name, cooldown))
+
+    def tried(self, name: str, failed: bool) -> None:
+        now = clock.now()
+        self.said.append(lambda trials: trials.tried(now, name, failed))
 
 
 class Peers:
@@ -44,7 +73,12 @@
         self.listens = ""
         self.over = False
         self.sock: socket.socket | None = None
-        self.membership: Membership | None = None
+        self.fellow: Fellow | None = None
+        self.voting = settings.voting
+        self.companions = Companions()
+        self.put_offs: list[tuple[str, int]] = []   # others' words on servers, to be told to the balancer
+        self.on_put_off: Callable[[int, int], None] = lambda server, wait: None
+        self.held: dict[str, str] = {}              # changes not logged yet: duties, and how
         try:
             self.bind()
         except OSError:
@@ -54,7 +88,7 @@
     @property
     def where(self) -> str:
         """Where others reach it."""
-        return self.membership.me.address if self.membership is not None else ""
+        return self.fellow.me.address if self.fellow is not None else ""
 
     def bind(self) -> None:
         host, _, port = self.settings.listen.rpartition(":")
@@ -68,7 +102,8 @@
         # Of chance each time: another life, whatever ran under this name or at this address before.
         born = int.from_bytes(os.urandom(8)) >> 1 | 1
         me = Record(self.name, born, self.settings.advertise or self.listens, self.zone)
-        self.membership = Membership(me, self.settings, int.from_bytes(os.urandom(8)), self, clock.now())
+        self.fellow = Fellow(me, self.settings, int.from_bytes(os.urandom(8)), self, clock.now())
+        self.fellow.adopt(clock.now(), self.voting)
         self.sock = sock
 
     # -- the thread
@@ -88,11 +123,14 @@
                     sleep(BIND_AGAIN_S)
 
     def listen(self) -> None:
-        sock, membership = self.sock, self.membership
-        assert sock is not None and membership is not None
+        sock, fellow = self.sock, self.fellow
+        assert sock is not None and fellow is not None
         second, read = monotonic(), 0
         while not self.over:
-            left = (membership.due() - clock.now()) / 1e6
+            with self.gate:
+                left = (fellow.due() - clock.now()) / 1e6
+                if fellow.trials is not None:
+                    left = min(left, LONGEST_PAUSE)
             data = None
             if left > 0:
                 sock.settimeout(left)
@@ -101,9 +139,15 @@
             if data is not None:
                 self.came("{}:{}".format(*address), data)
                 read += 1
-            if membership.due() <= clock.now():
-                with self.gate:
-                    membership.woke(clock.now())
+            with self.gate:
+                self.take_words(fellow)
+                if fellow.due() <= clock.now():
+                    fellow.woke(clock.now(), time_ns() // 1_000_000)
+                if fellow.trials is not None:
+                    self.companions.turns = fellow.trials.turns(clock.now())
+                put_offs, self.put_offs = self.put_offs, []
+            for server, wait in put_offs:
+                self.on_put_off(stable(server), wait)
             self.send()
             self.tell_log()
             now = monotonic()
@@ -126,9 +170,17 @@
             return
         self.counts["in"] += 1
         self.counts["in_bytes"] += len(data)
-        assert self.membership is not None
+        assert self.fellow is not None
         with self.gate:
-            self.membership.heard(clock.now(), address, message)
+            self.fellow.heard(clock.now(), address, message)
+
+    def take_words(self, fellow: Fellow) -> None:
+        """What the balancer has said since, in its order."""
+        said = self.companions.said
+        while said:
+            word = said.popleft()
+            if fellow.trials is not None:
+                word(fellow.trials)
 
     def send(self) -> None:
         assert self.sock is not None
@@ -146,14 +198,22 @@
     def tell_log(self) -> None:
         """One line for all changes of a second: a restart of the fleet must not fill the log."""
         now = monotonic()
-        if not self.told or now < self.line_at:
+        if not (self.told or self.held) or now < self.line_at:
             return
         self.line_at = now + LINE_S
-        assert self.membership is not None
+        assert self.fellow is not None
         with self.gate:
             told, self.told = self.told, {}
-            counts = list(self.membership.roll.counts)
-            sick = self.membership.sick
+            held, self.held = self.held, {}
+            counts = list(self.fellow.membership.roll.counts)
+            sick = self.fellow.membership.sick
+            count = len(self.fellow.duties.held(clock.now())) if self.fellow.duties is not None else 0
+        if held:
+            some = [f"{duty}: {how}" for duty, how in held.items()]
+            self.log.event("duties", held=count, changes=[*some[:NAMED], *(
+                [f"and {len(some) - NAMED}"] if len(some) > NAMED else [])])
+        if not told:
+            return
         named = {state: [*names[:NAMED], *([f"and {len(names) - NAMED}"] if len(names) > NAMED else [])]
                  for state, names in told.items()}
         self.log.event("peers", alive=counts[messages.ALIVE], suspects=counts[messages.SUSPECTED],
@@ -171,6 +231,13 @@
     def twice(self, record: Record) -> None:
         self.log.event("peers_name_twice", name=record.name, other=record.address)
 
+    def holds(self, duty: str, number: int, why: str) -> None:
+        self.counts["duties_won" if number else "duties_lost"] += 1
+        self.held[duty] = f"held, {why}" if number else why
+
+    def put_off(self, server: str, wait: int) -> None:
+        self.put_offs.append((server, wait))
+
     # -- for others
 
     def figures(self) -> dict[str, int]:
@@ -178,38 +245,95 @@
         told = {"peers_in": counts["in"], "peers_out": counts["out"], "peers_in_bytes": counts["in_bytes"],
                 "peers_out_bytes": counts["out_bytes"], "peers_noise": counts["noise"],
                 "peers_foreign": counts["foreign"]}
-        membership = self.membership
-        if membership is None:
+        fellow = self.fellow
+        if fellow is None:
             return {"peers_alive": 0, "peers_suspected": 0, **told}
+        now = clock.now()
         with self.gate:
+            membership = fellow.membership
             held, refused, sick = list(membership.roll.counts), membership.roll.refused, membership.sick
-            bounds = membership.bounds(clock.now())
+            bounds = membership.bounds(now)
+            if fellow.duties is not None:
+                told |= {"duties_held": len(fellow.duties.held(now)), "duties_won": counts["duties_won"],
+                         "duties_lost": counts["duties_lost"]}
         return {"peers_alive": held[messages.ALIVE], "peers_suspected": held[messages.SUSPECTED],
                 "peers_dead": held[messages.DEAD], "peers_refused": refused, "peers_slow": sick,
                 "fleet_least": bounds.least, "fleet_likely": bounds.likely, "fleet_most": bounds.most, **told}
 
     def members(self) -> list[Seen]:
-        membership = self.membership
-        if membership is None:
+        if self.fellow is None:
             return []
         with self.gate:
-            return membership.members(clock.now())
+            return self.fellow.membership.members(clock.now())
 
     def view(self) -> dict[str, Any]:
         """What this sidecar sees of the fleet, in seconds; `heard_s` is null where only others told of it."""
-        me = self.membership.me if self.membership is not None else None
+        me = self.fellow.membership.me if self.fellow is not None else None
+        members = self.members()
         return {"name": self.name, "address": self.where, "born": f"{me.born:x}" if me else "",
-                "incarnation": me.incarnation if me else 0, "figures": self.figures(), "peers": [
+                "incarnation": me.incarnation if me else 0, "figures": self.figures(), **self.duties(members),
+                "peers": [
                     {"name": one.name, "address": one.address, "zone": one.zone, "born": f"{one.born:x}",
                      "incarnation": one.incarnation, "state": STATES[one.state],
                      "since_s": round(one.for_ / 1e6, 3),
                      "heard_s": round(one.heard_ago / 1e6, 3) if one.heard_ago >= 0 else None, "by": one.by}
-                    for one in self.members()]}
+                    for one in members]}
+
+    def duties(self, members: list[Seen]) -> dict[str, Any]:
+        """What this sidecar holds, and, if it votes, whom it has granted what; nothing where nobody votes."""
+        fellow = self.fellow
+        if fellow is None or fellow.duties is None:
+            return {}
+        names = {one.born: one.name for one in members} | {fellow.me.born: self.name}
+        now = clock.now()
+        with self.gate:
+            duties, voter = fellow.duties, fellow.voter
+            held = duties.held(now)
+            granted = voter.granted(now) if voter is not None else []
+            silent = max(0, voter.silent_until - now) if voter is not None else 0
+            fit = duties.fit
+        told: dict[str, Any] = {"fit": fit, "holds": [
+            {"duty": duty, "number": f"{number:x}", "left_s": round(left / 1e6, 3)}
+            for duty, number, left in held]}
+        if voter is not None:
+            told["silent_s"] = round(silent / 1e6, 3)
+            told["granted"] = [
+                {"duty": duty, "holder": names.get(holder, f"{holder:x}"), "number": f"{number:x}",
+                 "left_s": round(left / 1e6, 3)} for duty, holder, number, left in granted]
+        return told
+
+    # -- what comes from elsewhere
+
+    def adopt(self, voting: Voting | None) -> None:
+        """The file was read again."""
+        with self.gate:
+            self.voting = voting
+            if self.fellow is not None:
+                self.fellow.adopt(clock.now(), voting)
+        self.companions.turns = {}
+
+    def take_away(self, duty: str) -> bool:
+        """By hand: whether this sidecar held it, which it gives up at once."""
+        if self.fellow is None:
+            return False
+        self.companions.turns = {}
+        with self.gate:
+            done = self.fellow.take_away(clock.now(), duty)
+        self.send()
+        return done
+
+    def end(self) -> None:
+        """SIGTERM: duties go to others now; this sidecar is a member until it sends nothing more."""
+        if self.fellow is not None and self.sock is not None:
+            self.companions.turns = {}
+            with self.gate:
+                self.fellow.end(clock.now())
+            self.send()
 
     def leave(self) -> None:
         """Say goodbye, as the process ends."""
         self.over = True
-        if self.membership is not None and self.sock is not None:
+        if self.fellow is not None and self.sock is not None:
             with self.gate:
-                self.membership.leave(clock.now())
+                self.fellow.leave(clock.now())
             self.send()
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -29,6 +29,7 @@
 from .watching import Watcher
 
 if TYPE_CHECKING:
+    from ..fleet.settings import PeerSettings
     from .peers import Peers
 
 STACK = 128 * 1024
@@ -75,6 +76,9 @@
     start(dispatcher.run_timers)
     start(watcher.run)
     if peers is not None:
+        peers.on_put_off = dispatcher.put_off
+        if trying(config.peers):
+            dispatcher.accompany(peers.companions)
         start(peers.run)
     if before is not None:
         dispatcher.inherit(before.by_hand, before.returned)
@@ -91,7 +95,7 @@
     gc.set_threshold(10_000)  # what ends with a submission is freed with it; little is left to collect
     host, port = clients.listener.getsockname()[:2]
     if operators is not None:
-        succession.offer()  # before it says that it has started: whoever waited for that may replace it at once
+        succession.offer()  # before it says that it has started: who waited for that may replace it at once
     log.event("started", listen=f"{host}:{port}", operators=operators.where if operators else "",
               servers=len(known.entries), from_clients=config.from_clients, to_servers=config.to_servers,
               checks="asserted" if __debug__ else "counted", form=compiled.FORM,
@@ -102,7 +106,7 @@
             succession.follow(before.line)
         start(operators.run)
     while signal.sigwait(signals) == signal.SIGHUP:
-        config = reload(config, path, dispatcher, watcher, log)
+        config = reload(config, path, dispatcher, watcher, log, peers)
     drain(dispatcher, clients, log, peers)
 
 
@@ -139,7 +143,8 @@
             mallopt(option, value)
 
 
-def reload(config: Config, path: str, dispatcher: Dispatcher, watcher: Watcher, log: Log) -> Config:
+def reload(config: Config, path: str, dispatcher: Dispatcher, watcher: Watcher, log: Log,
+           peers: Peers | None) -> Config:
     """Read the file again and go by it, whole or not at all; what is fixed while it runs is named."""
     try:
         new = settings.follow(path, config)
@@ -149,7 +154,10 @@
         return config
     waiting = [key for key in FIXED if fixed(new, key) != fixed(config, key)]
     new = replace(new, name=config.name, listen=config.listen, admin=config.admin, seed=config.seed,
-                  connections=config.connections, peers=config.peers)
+                  connections=config.connections, peers=lasting(config.peers, new.peers))
+    if peers is not None and new.peers is not None and new.peers != config.peers:
+        peers.adopt(new.peers.voting)
+        dispatcher.accompany(peers.companions if trying(new.peers) else None)
     before, after = config.settings, localised(new, watcher.watch.roster).settings
     changed = after != before or (new.zones, new.idle, new.dial) != (
         config.zones, config.idle, config.dial)
@@ -165,9 +173,22 @@
 
 
 def fixed(config: Config, key: str) -> object:
+    if key == "peers":
+        return config.peers.lasting() if config.peers is not None else None
     return config.connections if key == "limits" else getattr(config, key)
 
 
+def lasting(before: PeerSettings | None, after: PeerSettings | None) -> PeerSettings | None:
+    """What holds of peers once the file has been read again: its words on duties, all else as it was."""
+    if before is None or after is None:
+        return before
+    return replace(before, voting=after.voting)
+
+
+def trying(peers: PeerSettings | None) -> bool:
+    return peers is not None and peers.voting is not None and peers.voting.trials
+
+
 def localised(config: Config, roster: Roster) -> Config:
     """With its zone by the number that the roster has for it."""
     if not config.zones:
@@ -202,6 +223,8 @@
     """Go on accepting and answering, close connections between requests, and end once nothing is owed."""
     began = monotonic()
     dispatcher.draining = True
+    if peers is not None:
+        peers.end()
     log.event("draining", clients=len(clients.open), out=len(dispatcher.exchanges))
     patience = dispatcher.longest / 1e6
     while monotonic() - began < COMING:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -7,8 +7,9 @@
 import pytest
 
 from pumicepath import compiled
-from pumicepath.fleet.duties import OF_MESSAGE, Claim, Duties, Given, falls_to
+from pumicepath.fleet.duties import Claim, Duties, Given, falls_to
 from pumicepath.fleet.leases import Answer, Fence, Verdict, Voter, held_for, named, silent_for
+from pumicepath.fleet.messages import OF_BATCH
 from pumicepath.lab.faults.checks import fencing, one_holder
 from pumicepath.lab.virtual.holders import DRIFT, Found, Planted, schedule
 
@@ -179,7 +180,7 @@
     mine = [name for name in names if falls_to(name, members) == "n3"]
     assert 25 < len(mine) < 80
     duties, asked = started(names)
-    assert len(asked.claims) == 3 * -(-1000 // OF_MESSAGE)
+    assert len(asked.claims) == 3 * -(-1000 // OF_BATCH)
     moved = sum(falls_to(name, members) != falls_to(name, members[:-1]) for name in names)
     assert moved == sum(falls_to(name, members) == "n19" for name in names), "only what the one that left had"
     grant(duties, asked, SECOND + 1, "abc")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -259,7 +259,15 @@
     ({"listen": "127.0.0.1:0", "everyS": "soon"}, "peers.everyS"),
     ({"listen": "127.0.0.1:0", "timeoutS": 0.6}, "peers.timeoutS"),
     ({"listen": "127.0.0.1:0", "most": 1.5}, "peers.most"),
-    ({"listen": "127.0.0.1:0", "fleet": "x" * 65}, "peers.fleet")))
+    ({"listen": "127.0.0.1:0", "fleet": "x" * 65}, "peers.fleet"),
+    ({"listen": "127.0.0.1:0", "leaseS": 5}, "peers.leaseS: there are no voters"),
+    ({"listen": "127.0.0.1:0", "voters": [address(1), address(2)]}, "peers.voters"),
+    ({"listen": "127.0.0.1:0", "voters": [address(1)] * 3}, "peers.voters"),
+    ({"listen": "127.0.0.1:0", "voters": [address(1)], "votersBefore": ["x"]}, "peers.votersBefore[0]"),
+    ({"listen": "127.0.0.1:0", "voters": [address(1)], "leaseS": 0.1}, "peers.leaseS"),
+    ({"listen": "127.0.0.1:0", "voters": [address(1)], "leaseS": 5, "longestS": 4}, "peers.longestS"),
+    ({"listen": "127.0.0.1:0", "voters": [address(1)], "drift": 0.2}, "peers.drift"),
+    ({"listen": "127.0.0.1:0", "voters": [address(1)], "trials": 1}, "peers.trials")))
 def test_settings_that_cant_be_meant_are_named(told: object, key: str) -> None:
     with pytest.raises(ValueError) as caught:
         settings.decode(told, {})
@@ -270,3 +278,12 @@
     made = settings.decode({"listen": "127.0.0.1:1"}, {
         "GW_PEERS_LISTEN": "127.0.0.1:2", "GW_PEERS_SEEDS": f"{address(1)}, {address(2)}"})
     assert made == settings.PeerSettings("127.0.0.1:2", (address(1), address(2)))
+
+
+def test_who_votes_is_taken_as_the_file_changes_and_the_rest_is_not() -> None:
+    told = {"listen": "127.0.0.1:1", "voters": [address(1)], "leaseS": 2, "longestS": 4, "trials": True}
+    made = settings.decode(told, {})
+    assert made.voting == settings.Voting(((address(1),),), 2 * SECOND, 4 * SECOND, 0.01, True)
+    other = settings.decode({**told, "votersBefore": [address(2)]}, {})
+    assert other.voting is not None and other.voting.sets == ((address(1),), (address(2),))
+    assert made != other and made.lasting() == other.lasting()
--- /dev/null
+++ b/tests/test_trials.py
@@ -0,0 +1,333 @@
+"""Trials of sick servers by one sidecar at a time: words, breakers, virtual fleets, real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from pumicepath.fleet.duties import Claim, Duties, Given
+from pumicepath.fleet.leases import Answer
+from pumicepath.fleet.leases import Verdict as Said
+from pumicepath.fleet.messages import (
+    LONGEST,
+    Claimed,
+    Claims,
+    Granted,
+    Grants,
+    Record,
+    Tried,
+    Verdict,
+    batches,
+    packed,
+)
+from pumicepath.fleet.trials import KEPT, OWN_EYES, Trials, audience
+from pumicepath.interface import Outcome
+from pumicepath.lab.faults.checks import one_holder
+from pumicepath.lab.spec import Fleet, Load, Plan, Sidecars, Trouble
+from pumicepath.lab.virtual.run import VirtualWorld
+
+from .helpers import SECOND, Bench, compare, entry, settings
+from .test_fleet import LONGEST_S, NEVER, Stage, played
+
+
+class Fellow:
+    """Trials with duties whose one voter grants all, or nothing, and a note of what comes of it."""
+
+    def __init__(self, grants: bool = True) -> None:
+        self.now = 0
+        self.grants = grants
+        self.lines: list[str] = []
+        self.duties = Duties(1, Given((("v",),), 10 * SECOND, 0.0), 1, self, 0)
+        self.trials = Trials("a", self.duties, 1, self)
+        self.claims: list[tuple[int, Claim]] = []
+
+    def claim(self, voter: str, round_: int, claims: Any) -> None:
+        self.claims += [(round_, one) for one in claims]
+
+    def holds(self, duty: str, number: int, why: str) -> None:
+        self.note(f"{duty}: {'held' if number else why}")
+
+    def put_off(self, server: str, wait: int) -> None:
+        self.note(f"{server} put off by {wait / SECOND:g} s" if wait else f"{server} to be tried now")
+
+    def note(self, text: str) -> None:
+        self.lines.append(f"{self.now / SECOND:7.1f}  {text}")
+
+    def at(self, seconds: float) -> Trials:
+        while self.now < round(seconds * SECOND):
+            self.now += SECOND // 10
+            self.trials.looked(self.now)
+            self.duties.want(self.now, self.trials.wanted(self.now))
+            self.duties.woke(self.now, self.now // 1000)
+            claims, self.claims = self.claims, []
+            for round_, one in claims:
+                if self.grants and not one.release:
+                    self.duties.answered(self.now, "v", round_, one.duty, one.number,
+                                         Answer(Said.GRANTED, 0, one.number))
+            self.trials.looked(self.now)
+            for verdict in self.trials.told_on(self.now):
+                self.note(f"tells of {verdict.server}: {verdict.count}, wait {verdict.wait / SECOND:.1f} s")
+        return self.trials
+
+    def heard(self, seconds: float, number: int, count: int, wait_s: float) -> None:
+        self.at(seconds).heard(self.now, Verdict("s", number, count, round(wait_s * SECOND)))
+
+
+def test_the_holder_tells_and_gives_up_what_it_cant_find_out() -> None:
+    one = Fellow()
+    one.at(1).opened(one.now, "s", 5 * SECOND)
+    one.at(4)
+    assert one.trials.turns(one.now)["s"] > one.now
+    one.at(7).tried(one.now, "s", True)
+    one.trials.opened(one.now, "s", 10 * SECOND)
+    one.at(18).tried(one.now, "s", False)
+    one.at(20)
+    assert not one.duties.duties and not one.trials.open, "what is kept ends with the open breaker"
+    one.trials.opened(one.now, "s", 5 * SECOND)
+    one.at(50)
+    compare("trials-holder", one.lines)
+
+
+def test_words_of_others_put_a_trial_off_within_bounds() -> None:
+    one = Fellow(grants=False)
+    one.at(1).opened(one.now, "s", 5 * SECOND)
+    one.heard(2, 7, 1, 8)
+    one.heard(2.1, 7, 1, 8)         # the same once more
+    one.heard(2.2, 6, 9, 8)         # older
+    one.heard(5, 7, 2, 59)          # longer than may be asked for
+    one.heard(30, 8, 1, 0)          # it serves
+    one.heard(31, 9, 1, 5)
+    one.heard(OWN_EYES / SECOND + 2, 9, 2, 5)       # a minute by others' eyes alone
+    one.at(70).opened(one.now, "s", 5 * SECOND)
+    one.heard(OWN_EYES / SECOND + 75, 9, 3, 5)      # twice as long, as its own trial failed as well
+    one.heard(2 * OWN_EYES / SECOND + 75, 9, 4, 5)
+    compare("trials-words", one.lines)
+    one.at(one.now / SECOND + KEPT / SECOND + 1)
+    assert not one.trials.open
+
+
+def test_a_number_too_high_to_be_true_counts_for_a_while_only() -> None:
+    one = Fellow(grants=False)
+    one.at(1).opened(one.now, "s", 5 * SECOND)
+    one.heard(2, (1 << 63) - 1, 9, 1)
+    one.at(2.5)
+    before = len(one.lines)
+    one.heard(3, 5, 1, 1)
+    assert len(one.lines) == before
+    one.at(KEPT / SECOND + 3).opened(one.now, "s", 5 * SECOND)
+    one.heard(one.now / SECOND + 1, 5, 2, 1)
+    assert "put off" in one.lines[-1] or "put off" in one.lines[-2]
+
+
+def test_servers_with_names_too_long_are_nobodys_duty() -> None:
+    one = Fellow()
+    name = "s" * 60
+    one.at(1).opened(one.now, name, 5 * SECOND)
+    one.at(20)
+    assert not one.duties.duties and not one.lines
+
+
+def test_messages_of_duties_with_the_longest_names_fit_into_a_datagram() -> None:
+    sender = Record("n" * 64, (1 << 63) - 1, "255.255.255.255:65535", "z" * 64, (1 << 32) - 1)
+    names, high = ["é" * 32] * 100, (1 << 63) - 1
+    for batch in batches(names, str, 30):
+        claims = [Claimed(name, high, True) for name in batch]
+        grants = [Granted(name, high, 4, (1 << 32) - 1, high) for name in batch]
+        assert len(packed(Claims(sender, high, (1 << 32) - 1, 60 * SECOND, [high] * 2, claims), 0)) <= LONGEST
+        assert len(packed(Grants(sender, high, (1 << 32) - 1, grants), 0)) <= LONGEST
+    for batch in batches(names, str, 24):
+        told = [Verdict(name, high, (1 << 32) - 1, 60 * SECOND) for name in batch]
+        assert len(packed(Tried(sender, high, told), 0)) <= LONGEST
+    assert [audience(count) for count in (1, 10, 100, 1000)] == [2, 4, 7, 9]
+
+
+class Companions:
+    def __init__(self) -> None:
+        self.mine = False
+        self.said: list[str] = []
+
+    def turn(self, name: str) -> bool:
+        return self.mine
+
+    def opened(self, name: str, cooldown: int) -> None:
+        self.said.append(f"{name} opened for {cooldown / SECOND:g} s")
+
+    def tried(self, name: str, failed: bool) -> None:
+        self.said.append(f"{name} {'failed' if failed else 'served'}")
+
+
+def sick(companions: Companions | None) -> tuple[Bench, int]:
+    """One of three servers has failed until its breaker opened, at about 1 s."""
+    bench = Bench(settings(), [entry(1), entry(2), entry(3)])
+    bench.balancer.companions = companions
+    bench.quick(0, 8, 1, Outcome.ERROR)
+    found = [line for line in bench.lines if "open for" in line]
+    assert len(found) == 1
+    return bench, int(found[0].split("server ")[1].split()[0])
+
+
+def hops(bench: Bench, server: int, first: float, seconds: float) -> int:
+    """How often a server that fails is tried in that time, by keys that go there first."""
+    before = len(bench.sent)
+    step = 0
+    while step < seconds * 4:
+        one = bench.at(first + step / 4).take(round(first * 1000) + step, 1)
+        if bench.sent[-1] == server:
+            bench.at(first + step / 4 + 0.01).end(one, Outcome.ERROR)
+        while not one.over():
+            bench.end(one, Outcome.OK)
+        step += 1
+    return bench.sent[before:].count(server)
+
+
+def test_a_breaker_waits_for_its_turn_and_tries_alone_after_a_cooldown_without_word() -> None:
+    companions = Companions()
+    bench, server = sick(companions)
+    cooldown = bench.balancer.cooldown[bench.balancer.index[server]] / SECOND
+    assert companions.said == [f"{server} opened for {cooldown:g} s"]
+    assert hops(bench, server, 2, 2 * cooldown - 2) == 0, "not its turn"
+    assert hops(bench, server, 2 * cooldown + 1, 3) == 1, "nobody said anything: alone"
+    assert companions.said[1:] == [f"{server} failed", companions.said[2]] and "opened" in companions.said[2]
+
+    bench, server = sick(companions)
+    companions.mine = True
+    assert hops(bench, server, 2, cooldown + 2) == 1, "its turn"
+
+    bench, server = sick(None)
+    assert hops(bench, server, 2, cooldown + 2) == 1, "by itself, without others"
+
+
+def test_words_on_a_breaker_put_its_trial_off_or_bring_it_forward_and_close_nothing() -> None:
+    companions = Companions()
+    companions.mine = True
+    bench, server = sick(companions)
+    bench.balancer.put_off(bench.now, server, 20 * SECOND)
+    assert hops(bench, server, 2, 18) == 0
+    bench.balancer.put_off(bench.now, server, SECOND)
+    assert hops(bench, server, 21, 3) == 1, "a shorter word shortens nothing, and the trial comes"
+    companions.mine = False
+    bench.balancer.put_off(bench.now, server, 0)
+    assert bench.balancer.state[bench.balancer.index[server]] == 1, "still open"
+    assert hops(bench, server, 24.1, 2) == 1, "tried at once, whoever's turn it is"
+    other = next(each for each in (1, 2, 3) if each != server)
+    for wait in (0, 30 * SECOND):
+        bench.balancer.put_off(bench.now, other, wait)
+        bench.balancer.put_off(bench.now, 99, wait)
+    assert bench.balancer.state[bench.balancer.index[other]] == 0, "nothing opens by words"
+
+
+@pytest.mark.parametrize("seed", (1, 2))
+def test_a_fleet_tries_a_sick_server_far_less_often_together(seed: int) -> None:
+    """In virtual time: trials of both by the log, rules kept, and service no worse for it."""
+    found = []
+    for trials in (False, True):
+        plan = Plan(lasts_s=60, fleet=Fleet(servers=12, halls=2, work_ms=20), load=Load(part=0.3),
+                    sidecars=Sidecars(count=30, peers=True, trials=trials),
+                    troubles=(Trouble(kind="fail-quickly", at_s=10, for_s=30, count=2, value=1.0),))
+        world = VirtualWorld(plan, seed, trace=100_000)
+        result = world.run()
+        failed = sum("trial failed" in line for line in world.log)
+        assert not any(result.rules[rule] for rule in NEVER)
+        assert result.breakers[-1] == [0.0] * 12, "all serve again"
+        found.append((failed, result.service))
+    (alone, before), (together, after) = found
+    assert 0 < together < alone / 3, found
+    assert after > before - 0.01, found
+
+
+PLAN = Plan(lasts_s=3600, warm_s=0, fleet=Fleet(servers=6, halls=1, work_ms=5), load=Load(rate=150),
+            sidecars=Sidecars(count=6, peers=True, peers_every_s=0.2, trials=True, lease_s=1.0))
+
+
+class Holding:
+    """Who says that it holds a duty at the moment, asked again and again, as lines that the check reads.
+
+    An answer is of some moment between question and answer: the first of a term counts from when it came, the
+    later ones until they were asked, so that clocks and waits can make no two terms overlap that did not.
+    """
+
+    def __init__(self, stage: Stage) -> None:
+        self.stage = stage
+        self.lines: list[dict[str, Any]] = []
+        self.latest: dict[str, tuple[int, str]] = {}
+        self.known: set[tuple[str, int]] = set()
+        self.over = False
+
+    def now(self) -> int:
+        return time.monotonic_ns() // 1000
+
+    async def follow(self, number: int) -> None:
+        sidecar = self.stage.sidecars[number]
+        while not self.over:
+            asked = self.now()
+            view = await sidecar.asked("/peers", LONGEST_S) if sidecar.up else None
+            for held in view.get("holds", []) if view is not None else []:
+                duty, fence, born = held["duty"], int(held["number"], 16), view["born"]     # type: ignore[index]
+                new = (duty, fence) not in self.known
+                self.known.add((duty, fence))
+                self.lines.append({"at": self.now() if new else asked, "what": "acted", "duty": duty,
+                                   "holder": born, "fence": fence, "accepted": True})
+                self.latest[duty] = (fence, sidecar.name)
+            await asyncio.sleep(0.02)
+
+    async def holder(self, duty: str, above: int, but: str = "") -> str:
+        """Who holds it under a higher number, once somebody does."""
+        give_up = time.monotonic() + LONGEST_S
+        while time.monotonic() < give_up:
+            fence, name = self.latest.get(duty, (0, ""))
+            if fence > above and name != but:
+                return name
+            await asyncio.sleep(0.02)
+        raise AssertionError((duty, above, but, self.latest))
+
+    def broken(self) -> list[str]:
+        return one_holder.check(sorted(self.lines, key=lambda line: line["at"]))
+
+
+def test_trials_have_one_holder_through_kills_stops_cuts_and_the_end(tmp_path: Path) -> None:
+    async def work(stage: Stage) -> None:
+        world, links = stage.world, stage.world.links
+        assert links is not None
+        every = {each.number for each in stage.sidecars}
+        await stage.right("all have begun")
+        holding = Holding(stage)
+        following = [asyncio.ensure_future(holding.follow(number)) for number in every]
+        for server in (0, 1, 2):
+            world.servers[server].failing = 1.0
+        duties = [f"trial hall-0 s-{server}" for server in (0, 1, 2)]
+        for duty in duties:
+            await holding.holder(duty, 0)
+
+        def current(duty: str) -> tuple[int, Any]:
+            fence, name = holding.latest[duty]
+            return fence, next(each for each in stage.sidecars if each.name == name)
+        fence, one = current(duties[0])
+        one.stop()
+        await holding.holder(duties[0], fence, one.name)
+        one.go_on()
+        fence, one = current(duties[1])
+        heal = links.cut({one.number}, every - {one.number})
+        await holding.holder(duties[1], fence, one.name)
+        heal()
+        fence, one = current(duties[2])
+        one.kill()
+        await holding.holder(duties[2], fence, one.name)
+        one.start()
+        await stage.started()
+        fence, one = current(duties[0])
+        assert (await one.resigned(duties[0])) and not (await one.resigned("no duty of its"))
+        await holding.holder(duties[0], fence)
+        fence, one = current(duties[1])
+        one.end()
+        await holding.holder(duties[1], fence, one.name)
+        for server in (0, 1, 2):
+            world.servers[server].failing = 0.0
+        holding.over = True
+        await asyncio.gather(*following)
+        assert not holding.broken(), holding.broken()[:3]
+    world = played(tmp_path, work, PLAN)
+    assert [world.judge.broken[rule] for rule in NEVER] == [0] * len(NEVER), world.judge.first
