Verdicts of trials are shared whoever made them; only who sends there often waits for its turn

Words of holders no longer put trials off; verdicts do, whether or not the duty was held. A sidecar that would send a server less than one hop in a Cooldown claims nothing and waits for no turn. Words are ordered by a version near the wall clock's time, above all known ones, in place of the duty's number and a count.

With trials shared, a Cooldown is not doubled: it is for the sake of servers that many try.

--- a/pumicepath/fleet/fellow.py
+++ b/pumicepath/fleet/fellow.py
@@ -86,13 +86,13 @@
         self.membership.woke(now)
         if self.duties is not None:
             if self.trials is not None:
-                self.trials.looked(now)
+                self.trials.looked(now, wall_ms)
                 self.duties.want(now, self.trials.wanted(now))
                 self.tell_on(now, self.trials)
             self.duties.woke(now, wall_ms)
             self.hear_itself(now)
             if self.trials is not None:
-                self.trials.looked(now)
+                self.trials.looked(now, wall_ms)
         self.expected = self.due()
 
     def fitness(self, now: int) -> None:
--- a/pumicepath/fleet/messages.py
+++ b/pumicepath/fleet/messages.py
@@ -128,16 +128,16 @@
 
 
 class Verdict(msgspec.Struct, array_like=True, frozen=True):
-    """What the trial of a server came to, or that it is in one sidecar's hands; the newest word counts.
+    """What the trial of a server came to, or, if it was not `tried`, that one sidecar has it in hand.
 
-    `number` is that of the duty, `count` of the words under it; `wait` is microseconds that nobody else need
-    try it for, 0 where it has served.
+    Of two words the one with the higher `version` is newer.  `wait` is microseconds: that nobody else need
+    try it for, 0 where it has served, or that nobody else need ask for the duty.
     """
 
     server: Name
-    number: Id
-    count: Count
+    version: Id
     wait: Annotated[int, Meta(ge=0, le=60_000_000)]
+    tried: bool = True
 
 
 class Tried(Message, tag=10, frozen=True):
--- a/pumicepath/fleet/trials.py
+++ b/pumicepath/fleet/trials.py
@@ -4,9 +4,9 @@
 servers that this sidecar may try now, and `heard` takes the words of others, which go on to the breakers by
 the outlet.  Times are whole microseconds.
 
-Words of others put a trial off or bring it forward, no more: no breaker opens or closes by them.  A sidecar
-that hears nothing tries by itself once it has waited for a Cooldown more, and one that is put off again and
-again does so a minute after its own last verdict, later each time that its own trial fails as well.
+Verdicts of others put a trial off or bring it forward, no more: no breaker opens or closes by them.  A
+sidecar that hears none tries by itself once it has waited for a Cooldown more, and one that is put off again
+and again does so a minute after its own last verdict, later each time that its own trial fails as well.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from random import Random
 from typing import Protocol
 
-from .duties import Duties
+from .duties import OWN_BITS, WALL, Duties
 from .messages import Verdict
 
 PREFIX = "trial"
@@ -26,6 +26,7 @@
 DOUBLED = 4                 # twice as long each time that its own trial has failed, as often as this
 KEPT = 120_000_000          # a breaker that nothing is heard of any more, nor any word of it
 NEWEST = 4096               # servers whose last word is known
+HIGHEST = (1 << 63) - 1     # version
 APART = 100_000             # between two tellings: what comes within goes out together
 
 
@@ -37,7 +38,7 @@
 class Open:
     """A server whose breaker is open here."""
 
-    __slots__ = ("cooldown", "until", "claim_at", "opened", "failed", "said", "count", "since", "last")
+    __slots__ = ("cooldown", "until", "claim_at", "opened", "failed", "claims", "said", "since", "last")
 
     def __init__(self, now: int) -> None:
         self.cooldown = 0
@@ -45,8 +46,8 @@
         self.claim_at = 0
         self.opened = now       # by this sidecar's own eyes
         self.failed = -1        # trials of its own, one after the other
-        self.said = 0           # the number under which others have been told
-        self.count = 0          # words under it
+        self.claims = False     # whether it sends there often enough to find out for others
+        self.said = 0           # the number of the duty that others have been told of
         self.since = 0          # when the duty came
         self.last = now
 
@@ -58,10 +59,11 @@
         self.chance = Random(seed)
         self.outlet = outlet
         self.open: dict[str, Open] = {}
-        self.newest: dict[str, tuple[int, int, int]] = {}   # number, count, and when it was heard
+        self.newest: dict[str, tuple[int, int]] = {}        # version, and when it was heard
         self.fresh: dict[str, Verdict] = {}                 # to be told on
         self.tell_at = 0
         self.looked_at = 0
+        self.wall = (0, 0)                  # the wall clock's milliseconds, and when it was read
 
     def duty(self, server: str) -> str:
         return f"{PREFIX} {self.zone} {server}"
@@ -71,50 +73,56 @@
 
     # -- this sidecar's breakers
 
-    def opened(self, now: int, server: str, cooldown: int) -> None:
-        """By its own eyes: at first, or as its trial has failed."""
+    def opened(self, now: int, server: str, cooldown: int, often: bool) -> None:
+        """By its own eyes, at first or after a trial; `often`: it would send there within a Cooldown."""
         one = self.open.get(server)
         if one is None:
             if len(self.open) >= NEWEST:
                 return
             one = self.open[server] = Open(now)
         one.failed = min(DOUBLED, one.failed + 1)
+        one.claims = often
         one.cooldown, one.until, one.opened, one.last = cooldown, now + cooldown, now, now
         # Claimed early, so that it is settled who tries when the first Cooldown is over; not by all at once.
         one.claim_at = now + self.chance.randrange(max(1, cooldown // 2))
-        self.say(now, server, one, cooldown)
+        if one.failed > 0:
+            self.say(now, server, cooldown, True)
 
     def tried(self, now: int, server: str, failed: bool) -> None:
         """The verdict of an own trial; when it has failed, `opened` follows."""
-        one = self.open.get(server)
-        if one is not None and not failed:
-            self.say(now, server, one, 0)
+        if server in self.open and not failed:
+            self.say(now, server, 0, True)
             del self.open[server]
             self.duties.resign(now, self.duty(server), "the server serves")
 
-    def say(self, now: int, server: str, one: Open, wait: int) -> None:
-        """Tell the zone, if this sidecar holds the duty: what is done besides it binds nobody."""
-        number = self.duties.number(now, self.duty(server))
-        if not number:
-            return
-        one.count = one.count + 1 if number == one.said else 1
-        one.said, one.last = number, now
-        self.note(now, Verdict(server, number, one.count, min(LONGEST_WAIT, wait)))
+    def say(self, now: int, server: str, wait: int, tried: bool) -> None:
+        """Tell the zone, whoever's turn it was: a verdict is one.
+
+        Its version is above all that are known, and near the wall clock's time, as a duty's number is.
+        """
+        if self.shared(server):
+            wall_ms = self.wall[0] + (now - self.wall[1]) // 1000
+            above = max(self.newest.get(server, (0, 0))[0] >> OWN_BITS, wall_ms & WALL) + 1
+            version = above << OWN_BITS | self.duties.me & ((1 << OWN_BITS) - 1)
+            self.note(now, Verdict(server, version & HIGHEST, min(LONGEST_WAIT, wait), tried))
 
     # -- words of others
 
     def heard(self, now: int, verdict: Verdict) -> None:
         server = verdict.server
         newest = self.newest.get(server)
-        if newest is not None and now - newest[2] < KEPT and (verdict.number, verdict.count) <= newest[:2]:
+        if newest is not None and now - newest[1] < KEPT and verdict.version <= newest[0]:
             return              # older than what is known, or the same once more
         self.note(now, verdict)
         one = self.open.get(server)
-        if one is None or self.duties.number(now, self.duty(server)):
+        if one is None:
+            return
+        wait = min(LONGEST_WAIT, verdict.wait)
+        if not verdict.tried:
+            one.claim_at = max(one.claim_at, now + wait)
             return
         if now - one.opened > OWN_EYES << max(0, one.failed):
             return              # guards against words that keep a server out that may serve this sidecar
-        wait = min(LONGEST_WAIT, verdict.wait)
         one.last, one.until = now, now + wait
         later = self.chance.randrange(max(1, one.cooldown // 4))
         one.claim_at = max(one.until, now + one.cooldown // 2) + later
@@ -124,7 +132,7 @@
         self.newest.pop(verdict.server, None)
         if len(self.newest) >= NEWEST:
             del self.newest[next(iter(self.newest))]
-        self.newest[verdict.server] = (verdict.number, verdict.count, now)
+        self.newest[verdict.server] = (verdict.version, now)
         if not self.fresh:
             self.tell_at = now + APART
         self.fresh[verdict.server] = verdict
@@ -137,17 +145,18 @@
             times.append(self.tell_at)
         return min(times, default=None)
 
-    def looked(self, now: int) -> None:
+    def looked(self, now: int, wall_ms: int) -> None:
         """What has changed with the duties: those won are told of, those of no use are given up."""
         self.looked_at = now
+        self.wall = (wall_ms, now)
         for server, one in list(self.open.items()):
             number = self.duties.number(now, self.duty(server))
             if now - one.last > KEPT:
                 del self.open[server]
                 self.duties.resign(now, self.duty(server), "no breaker is open")
             elif number and number != one.said:
-                one.since = now
-                self.say(now, server, one, max(0, one.until - now) + one.cooldown // 2)
+                one.said, one.since = number, now
+                self.say(now, server, max(0, one.until - now) + one.cooldown, False)
             elif number and now > max(one.until, one.since) + one.cooldown:
                 # Guards against a holder that sends nothing there: another, with more to send, finds out.
                 one.claim_at = now + 2 * one.cooldown
@@ -155,7 +164,7 @@
 
     def wanted(self, now: int) -> list[str]:
         return [self.duty(server) for server, one in self.open.items()
-                if now >= one.claim_at and self.shared(server)]
+                if one.claims and now >= one.claim_at and self.shared(server)]
 
     def turns(self, now: int) -> dict[str, int]:
         """The servers that are this sidecar's to try, and until when."""
--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -145,7 +145,8 @@
     def turn(self, name: str) -> bool:
         """Whether the half-open trial of the server with this name is this sidecar's to make."""
 
-    def opened(self, name: str, cooldown: int) -> None: ...
+    def opened(self, name: str, cooldown: int, often: bool) -> None:
+        """Its breaker is open; `often`: this sidecar would send there within a Cooldown."""
 
     def tried(self, name: str, failed: bool) -> None:
         """The verdict of a trial made here; when it has failed, `opened` follows."""
--- a/pumicepath/lab/virtual/peers.py
+++ b/pumicepath/lab/virtual/peers.py
@@ -127,9 +127,9 @@
         return fellow is not None and fellow.trials is not None and fellow.duties is not None and bool(
             fellow.duties.number(self.clock(), fellow.trials.duty(name)))
 
-    def opened(self, name: str, cooldown: int) -> None:
+    def opened(self, name: str, cooldown: int, often: bool) -> None:
         if self.fellow is not None and self.fellow.trials is not None:
-            self.fellow.trials.opened(self.clock(), name, cooldown)
+            self.fellow.trials.opened(self.clock(), name, cooldown, often)
             self.wake()
 
     def tried(self, name: str, failed: bool) -> None:
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -943,7 +943,7 @@
             return True
         if self.state[at] == OPEN:
             waited = now - self.since[at] - self.cooldown[at]
-            if self.companions is not None and 0 <= waited < self.cooldown[at]:
+            if self.companions is not None and 0 <= waited < self.cooldown[at] and self.often():
                 # Another may have its trial in hand; after a Cooldown without word this one tries alone.
                 return not unrepeatable and self.companions.turn(self.names[at])
             # Trials are hops that may be sent again, unless none has come for another Cooldown.
@@ -985,6 +985,8 @@
         # Guards a sick server against the trials of many sidecars that each have little for it in calm: they
         # wait as long as their few submissions make up for it, and each somewhat longer by its number.
         wait = max(COOLDOWN, self.gap * len(self.ready) / TRIAL_PART) * (2 if self.cooldown[at] else 1)
+        if self.companions is not None and self.often():
+            wait = float(COOLDOWN)  # one trial of all, so that nobody need wait longer for many
         apart = 1.0 + (self.place + self.salt[at] / MASK) % 1.0 / 2
         self.cooldown[at] = int(min(LONGEST_COOLDOWN, wait) * apart)
         self.state[at] = OPEN
@@ -994,7 +996,11 @@
         self.trials[at] = self.fails[at] = 0
         self.outlet.log(f"server {self.names[at]} open for {self.cooldown[at] / 1e6:.1f} s: {cause}")
         if self.companions is not None:
-            self.companions.opened(self.names[at], self.cooldown[at])
+            self.companions.opened(self.names[at], self.cooldown[at], self.often())
+
+    def often(self) -> bool:
+        """Whether each server would get a hop of this sidecar's within a Cooldown, so that it finds out."""
+        return self.gap * len(self.ready) < COOLDOWN
 
     def put_off(self, now: int, server: int, wait: int) -> None:
         """Others' word on an open breaker: its trial is put off by as long, or with 0 may be made at once."""
--- a/pumicepath/sidecar/peers.py
+++ b/pumicepath/sidecar/peers.py
@@ -47,9 +47,9 @@
     def turn(self, name: str) -> bool:
         return clock.now() < self.turns.get(name, 0)
 
-    def opened(self, name: str, cooldown: int) -> None:
+    def opened(self, name: str, cooldown: int, often: bool) -> None:
         now = clock.now()
-        self.said.append(lambda trials: trials.opened(now, name, cooldown))
+        self.said.append(lambda trials: trials.opened(now, name, cooldown, often))
 
     def tried(self, name: str, failed: bool) -> None:
         now = clock.now()
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from pumicepath.fleet.duties import Claim, Duties, Given
+from pumicepath.fleet.duties import OWN_BITS, Claim, Duties, Given
 from pumicepath.fleet.leases import Answer
 from pumicepath.fleet.leases import Verdict as Said
 from pumicepath.fleet.messages import (
@@ -24,7 +24,7 @@
     batches,
     packed,
 )
-from pumicepath.fleet.trials import KEPT, OWN_EYES, Trials, audience
+from pumicepath.fleet.trials import HIGHEST, KEPT, OWN_EYES, Trials, audience
 from pumicepath.interface import Outcome
 from pumicepath.lab.faults.checks import one_holder
 from pumicepath.lab.spec import Fleet, Load, Plan, Sidecars, Trouble
@@ -60,7 +60,7 @@
     def at(self, seconds: float) -> Trials:
         while self.now < round(seconds * SECOND):
             self.now += SECOND // 10
-            self.trials.looked(self.now)
+            self.trials.looked(self.now, self.now // 1000)
             self.duties.want(self.now, self.trials.wanted(self.now))
             self.duties.woke(self.now, self.now // 1000)
             claims, self.claims = self.claims, []
@@ -68,43 +68,45 @@
                 if self.grants and not one.release:
                     self.duties.answered(self.now, "v", round_, one.duty, one.number,
                                          Answer(Said.GRANTED, 0, one.number))
-            self.trials.looked(self.now)
+            self.trials.looked(self.now, self.now // 1000)
             for verdict in self.trials.told_on(self.now):
-                self.note(f"tells of {verdict.server}: {verdict.count}, wait {verdict.wait / SECOND:.1f} s")
+                self.note(f"tells of {verdict.server}: version {verdict.version >> OWN_BITS}, wait "
+                          f"{verdict.wait / SECOND:.1f} s{'' if verdict.tried else ', has it in hand'}")
         return self.trials
 
-    def heard(self, seconds: float, number: int, count: int, wait_s: float) -> None:
-        self.at(seconds).heard(self.now, Verdict("s", number, count, round(wait_s * SECOND)))
+    def heard(self, seconds: float, version: int, wait_s: float, tried: bool = True) -> None:
+        self.at(seconds).heard(self.now, Verdict("s", version << OWN_BITS, round(wait_s * SECOND), tried))
 
 
 def test_the_holder_tells_and_gives_up_what_it_cant_find_out() -> None:
     one = Fellow()
-    one.at(1).opened(one.now, "s", 5 * SECOND)
+    one.at(1).opened(one.now, "s", 5 * SECOND, True)
     one.at(4)
     assert one.trials.turns(one.now)["s"] > one.now
     one.at(7).tried(one.now, "s", True)
-    one.trials.opened(one.now, "s", 10 * SECOND)
+    one.trials.opened(one.now, "s", 10 * SECOND, True)
     one.at(18).tried(one.now, "s", False)
     one.at(20)
     assert not one.duties.duties and not one.trials.open, "what is kept ends with the open breaker"
-    one.trials.opened(one.now, "s", 5 * SECOND)
+    one.trials.opened(one.now, "s", 5 * SECOND, True)
     one.at(50)
     compare("trials-holder", one.lines)
 
 
 def test_words_of_others_put_a_trial_off_within_bounds() -> None:
     one = Fellow(grants=False)
-    one.at(1).opened(one.now, "s", 5 * SECOND)
-    one.heard(2, 7, 1, 8)
-    one.heard(2.1, 7, 1, 8)         # the same once more
-    one.heard(2.2, 6, 9, 8)         # older
-    one.heard(5, 7, 2, 59)          # longer than may be asked for
-    one.heard(30, 8, 1, 0)          # it serves
-    one.heard(31, 9, 1, 5)
-    one.heard(OWN_EYES / SECOND + 2, 9, 2, 5)       # a minute by others' eyes alone
-    one.at(70).opened(one.now, "s", 5 * SECOND)
-    one.heard(OWN_EYES / SECOND + 75, 9, 3, 5)      # twice as long, as its own trial failed as well
-    one.heard(2 * OWN_EYES / SECOND + 75, 9, 4, 5)
+    one.at(1).opened(one.now, "s", 5 * SECOND, True)
+    one.heard(2, 70, 8)
+    one.heard(2.1, 70, 8)           # the same once more
+    one.heard(2.2, 69, 8)           # older
+    one.heard(3, 71, 8, False)      # no verdict, and so puts off no trial
+    one.heard(5, 72, 59)            # longer than may be asked for
+    one.heard(30, 80, 0)            # it serves
+    one.heard(31, 90, 5)
+    one.heard(OWN_EYES / SECOND + 2, 91, 5)         # a minute by others' eyes alone
+    one.at(70).opened(one.now, "s", 5 * SECOND, True)
+    one.heard(OWN_EYES / SECOND + 75, 1 << 30, 5)   # twice as long, as its own trial failed as well
+    one.heard(2 * OWN_EYES / SECOND + 75, (1 << 30) + 1, 5)
     compare("trials-words", one.lines)
     one.at(one.now / SECOND + KEPT / SECOND + 1)
     assert not one.trials.open
@@ -112,21 +114,31 @@
 
 def test_a_number_too_high_to_be_true_counts_for_a_while_only() -> None:
     one = Fellow(grants=False)
-    one.at(1).opened(one.now, "s", 5 * SECOND)
-    one.heard(2, (1 << 63) - 1, 9, 1)
+    one.at(1).opened(one.now, "s", 5 * SECOND, True)
+    one.heard(2, HIGHEST >> OWN_BITS, 1)
     one.at(2.5)
     before = len(one.lines)
-    one.heard(3, 5, 1, 1)
+    one.heard(3, 5, 1)
     assert len(one.lines) == before
-    one.at(KEPT / SECOND + 3).opened(one.now, "s", 5 * SECOND)
-    one.heard(one.now / SECOND + 1, 5, 2, 1)
+    one.at(KEPT / SECOND + 3).opened(one.now, "s", 5 * SECOND, True)
+    one.heard(one.now / SECOND + 1, 6, 1)
     assert "put off" in one.lines[-1] or "put off" in one.lines[-2]
 
 
+def test_who_sends_there_seldom_claims_nothing_and_tells_all_the_same() -> None:
+    one = Fellow()
+    one.at(1).opened(one.now, "s", 20 * SECOND, False)
+    one.at(30).tried(one.now, "s", True)
+    one.trials.opened(one.now, "s", 20 * SECOND, False)
+    one.at(60).tried(one.now, "s", False)
+    one.at(61)
+    assert len(one.lines) == 2 and all("tells of s" in line for line in one.lines), one.lines
+
+
 def test_servers_with_names_too_long_are_nobodys_duty() -> None:
     one = Fellow()
     name = "s" * 60
-    one.at(1).opened(one.now, name, 5 * SECOND)
+    one.at(1).opened(one.now, name, 5 * SECOND, True)
     one.at(20)
     assert not one.duties.duties and not one.lines
 
@@ -140,7 +152,7 @@
         assert len(packed(Claims(sender, high, (1 << 32) - 1, 60 * SECOND, [high] * 2, claims), 0)) <= LONGEST
         assert len(packed(Grants(sender, high, (1 << 32) - 1, grants), 0)) <= LONGEST
     for batch in batches(names, str, 24):
-        told = [Verdict(name, high, (1 << 32) - 1, 60 * SECOND) for name in batch]
+        told = [Verdict(name, high, 60 * SECOND, False) for name in batch]
         assert len(packed(Tried(sender, high, told), 0)) <= LONGEST
     assert [audience(count) for count in (1, 10, 100, 1000)] == [2, 4, 7, 9]
 
@@ -153,7 +165,7 @@
     def turn(self, name: str) -> bool:
         return self.mine
 
-    def opened(self, name: str, cooldown: int) -> None:
+    def opened(self, name: str, cooldown: int, often: bool) -> None:
         self.said.append(f"{name} opened for {cooldown / SECOND:g} s")
 
     def tried(self, name: str, failed: bool) -> None:
@@ -170,14 +182,14 @@
     return bench, int(found[0].split("server ")[1].split()[0])
 
 
-def hops(bench: Bench, server: int, first: float, seconds: float) -> int:
+def hops(bench: Bench, server: int, first: float, seconds: float, every: float = 0.25) -> int:
     """How often a server that fails is tried in that time, by keys that go there first."""
     before = len(bench.sent)
     step = 0
-    while step < seconds * 4:
-        one = bench.at(first + step / 4).take(round(first * 1000) + step, 1)
+    while step * every < seconds:
+        one = bench.at(first + step * every).take(round(first * 1000) + step, 1)
         if bench.sent[-1] == server:
-            bench.at(first + step / 4 + 0.01).end(one, Outcome.ERROR)
+            bench.at(first + step * every + 0.01).end(one, Outcome.ERROR)
         while not one.over():
             bench.end(one, Outcome.OK)
         step += 1
@@ -201,6 +213,17 @@
     assert hops(bench, server, 2, cooldown + 2) == 1, "by itself, without others"
 
 
+def test_who_sends_seldom_waits_for_no_turn() -> None:
+    """Found at 1,000 sidecars: those whose turn it was had nothing to send there, and nobody else might."""
+    companions = Companions()
+    bench, server = sick(companions)
+    hops(bench, server, 20, 400, 5.0)
+    at = bench.balancer.index[server]
+    since, cooldown = bench.balancer.since[at] / SECOND, bench.balancer.cooldown[at] / SECOND
+    assert not bench.balancer.often() and cooldown > 15 and bench.now / SECOND < since + 2 * cooldown - 15
+    assert hops(bench, server, max(bench.now / SECOND, since + cooldown) + 0.5, 12, 5.0) == 1
+
+
 def test_words_on_a_breaker_put_its_trial_off_or_bring_it_forward_and_close_nothing() -> None:
     companions = Companions()
     companions.mine = True
