The benchmarks stand on the lab's servers and clients; their own stand-ins are gone

Need: stand-ins exist once. `lab/loopback/fleet.py` and `load.py` were servers, a list, clients and a configuration of the benchmarks' own beside the lab's model, with other rules and no judge.

`lab/loopback/apart.py` stands the model's servers up in a process of their own and plays the model's clients in others, around a sidecar that the benchmark holds to its core; the clients' connections are a part of their own, `wires.py`, which the lab's sidecars use as well. Requests that are no reads have `load.body` bytes.

--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -3,7 +3,7 @@
     python benchmarks/cost.py --old HEAD~1 --runs 5 --cores 1,2,3
 
 The sidecar has the first core to itself, the stand-in servers the second, the clients the third: closed
-loops on 8 connections, one submission in four with a body.  Servers are stand-ins that answer at once.
+loops on 8 connections, one submission in four with a body.  Servers are the lab's, and answer at once.
 """
 
 from __future__ import annotations
@@ -25,19 +25,28 @@
 
 sys.path.insert(0, str(ROOT))
 
-from pumicepath.lab.loopback.fleet import Fleet, configuration  # noqa: E402
-from pumicepath.lab.loopback.load import HEAD  # noqa: E402
+from pumicepath.lab.loopback.apart import serving  # noqa: E402
 from pumicepath.lab.loopback.process import Sidecar  # noqa: E402
+from pumicepath.lab.loopback.wires import asked  # noqa: E402
+from pumicepath.lab.spec import Fleet, Load, Plan, Sidecars, Tariff  # noqa: E402
 
 
-def serve(pipe, core: int, servers: int) -> None:
+def plan(servers: int) -> Plan:
+    """Servers that are never short of cores, and answer within a tenth of a millisecond."""
+    long = {"agreed_ms": 600, "patience_ms": 2500}
+    return Plan(lasts_s=3600, fleet=Fleet(halls=1, servers=servers, cores=1000, work_ms=0.01, near_ms=0.01,
+                                          miss=1.0), sidecars=Sidecars(count=1),
+                load=Load(tariffs=(Tariff(name="read", **long),
+                                   Tariff(name="once", effect="at_most_once", gain=3.0, **long))))
+
+
+def serve(pipe, core: int, servers: int, folder: str) -> None:
     os.sched_setaffinity(0, {core})
 
     async def run() -> None:
-        fleet = Fleet(servers, lambda: 0.0)
-        await fleet.start()
-        pipe.send(configuration(fleet, agreed=0.6, patience=2.5))
-        await asyncio.Event().wait()
+        async with serving(plan(servers), 7, Path(folder)) as stand:
+            pipe.send(stand.told)
+            await asyncio.Event().wait()
     asyncio.run(run())
 
 
@@ -54,9 +63,9 @@
     def ask(self) -> None:
         self.number += 1
         once = self.number % 4 == 0
-        head = HEAD % (b"POST" if once else b"GET", self.number, b"once" if once else b"read",
-                       hash(self.number * 2654435761) % 2000 + 1, 2000)
-        self.transport.write(head + (b"Content-Length: 200\r\n\r\n" + b"b" * 200 if once else b"\r\n"))
+        key = hash(self.number * 2654435761) % 2000 + 1
+        self.transport.write(asked("once" if once else "read", not once, f"{self.number:x}-1", key, 2000,
+                                   False, 200))
 
     def data_received(self, data: bytes) -> None:
         status = int(data[9:12])
@@ -90,10 +99,10 @@
 def measure(root: Path, cores: list[int], connections: int, seconds: float, trace: bool) -> dict:
     context = multiprocessing.get_context("spawn")
     here, there = context.Pipe()
-    fleet = context.Process(target=serve, args=(there, cores[1], 4), daemon=True)
-    fleet.start()
-    told = here.recv()
     with tempfile.TemporaryDirectory() as folder:
+        fleet = context.Process(target=serve, args=(there, cores[1], 4, folder), daemon=True)
+        fleet.start()
+        told = here.recv()
         sidecar = Sidecar(told, Path(folder), root, {cores[0]})
         try:
             while (where := sidecar.address()) is None:
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -15,7 +15,6 @@
 import json
 import multiprocessing
 import os
-import random
 import signal
 import statistics
 import sys
@@ -23,6 +22,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from pathlib import Path
 
 import click
@@ -30,37 +30,64 @@
 
 sys.path.insert(0, str(ROOT))
 
-from pumicepath.lab.loopback.fleet import Fleet, configuration  # noqa: E402
-from pumicepath.lab.loopback.load import Count, Plan, clients  # noqa: E402
+from pumicepath.lab.loopback.apart import Met, clients, serving  # noqa: E402
 from pumicepath.lab.loopback.process import Sidecar  # noqa: E402
+from pumicepath.lab.spec import Fleet, Load, Plan, Sidecars, Tariff  # noqa: E402
 
 CONTEXT = multiprocessing.get_context("spawn")
 LOADS = (0.2, 0.5, 0.8, 1.0, 1.5, 2.0, 4.0, 10.0)
 
 
-def serve(pipe, core: int, body: int) -> None:
+# More cores than are ever used: the servers answer after 5 ms, give or take half of it, whatever comes.
+FLEET = Fleet(halls=1, servers=4, cores=1000, queue=1, work_ms=5, spread=0.5, miss=1.0, near_ms=0.01)
+LATE_MS = 50.0              # of the clients' own ticks, above which a run says nothing
+CLOSED = 30_000.0           # offered a second where all connections are to be busy
+
+
+@dataclass
+class Play:
+    """What clients do; rates are submissions a second, times seconds."""
+
+    steps: list[tuple[float, float]]          # from when, at what rate
+    lasts: float
+    patience: float = 0.6
+    connections: int = 300
+    body: int = 200
+    retries: int = 1                          # that a client makes after a deferral
+    heeds: bool = True                        # the time it is told to come back at
+    seed: int = 1
+
+    def plan(self, parts: int = 1) -> Plan:
+        first = self.steps[0][1]
+
+        def tariff(name: str, effect: str, share: float, gain: float) -> Tariff:
+            return Tariff(name=name, effect=effect, share=share, gain=gain, patience_ms=self.patience * 1000)
+        return Plan(lasts_s=self.lasts, warm_s=0, fleet=FLEET, sidecars=Sidecars(count=1), load=Load(
+            rate=first / parts, steps=tuple((at, rate / first) for at, rate in self.steps), zipf=0.5,
+            retries=self.retries, back_off_ms=0.01, heeds=self.heeds, body=self.body,
+            tariffs=(tariff("read", "idempotent", 0.75, 1.0), tariff("once", "at_most_once", 0.25, 3.0))))
+
+
+def serve(pipe, core: int, folder: str) -> None:
     os.sched_setaffinity(0, {core})
-    chance = random.Random(7)
-    state = {"spent": 0.005}
 
     async def run() -> None:
-        fleet = Fleet(4, lambda: state["spent"] * (0.5 + chance.random()), body)
-        await fleet.start()
-        pipe.send(configuration(fleet))
-        while True:
-            await asyncio.sleep(0.01)
-            if pipe.poll():
-                told = pipe.recv()
-                if told is None:
-                    pipe.send(sum(count > 1 for count in fleet.ran.values()))
-                else:
-                    state["spent"] = told
+        async with serving(Play([(0.0, 1.0)], 3600).plan(), 7, Path(folder)) as stand:
+            pipe.send(stand.told)
+            while True:
+                await asyncio.sleep(0.01)
+                if pipe.poll():
+                    told = pipe.recv()
+                    if isinstance(told, set):
+                        pipe.send(sum(stand.ran()[ask] > 1 for ask in told))
+                    else:
+                        stand.slowed(told)
     asyncio.run(run())
 
 
-def load(plan: Plan, where: tuple[str, int], core: int, pipe) -> None:
+def load(plan: Plan, seed: int, where: tuple[str, int], number: int, most: int, core: int, pipe) -> None:
     os.sched_setaffinity(0, {core})
-    pipe.send(clients(plan, where))
+    pipe.send(clients(plan, seed, where, number, most))
 
 
 def spin(core: int) -> None:
@@ -72,10 +99,10 @@
 class Place:
     """A sidecar from one tree with its servers, and a neighbour on its core."""
 
-    def __init__(self, root: Path, cores: list[int], folder: Path, body: int) -> None:
+    def __init__(self, root: Path, cores: list[int], folder: Path) -> None:
         self.cores = cores
         self.pipe, theirs = CONTEXT.Pipe()
-        self.fleet = CONTEXT.Process(target=serve, args=(theirs, cores[1], body), daemon=True)
+        self.fleet = CONTEXT.Process(target=serve, args=(theirs, cores[1], str(folder)), daemon=True)
         self.fleet.start()
         self.sidecar = Sidecar(self.pipe.recv(), folder, root, {cores[0]})
         self.neighbours = [self.neighbour()]
@@ -83,23 +110,26 @@
             time.sleep(0.02)
         self.where = where
         self.most: dict[str, float] = {}
+        self.once: set[int] = set()
+        self.groups = 0                      # of clients so far; each has numbers of its own
 
     def neighbour(self):
         process = CONTEXT.Process(target=spin, args=(self.cores[0],), daemon=True)
         process.start()
         return process
 
-    def play(self, plan: Plan, acts: list[tuple[float, Callable[[], None]]] = ()) -> Count:
+    def play(self, play: Play, acts: list[tuple[float, Callable[[], None]]] = ()) -> Met:
         """Run the plan in as many processes as there are cores for clients, with acts at their times."""
         parts = self.cores[2:]
         pipes = []
-        for at, core in enumerate(parts):
+        for core in parts:
             here, there = CONTEXT.Pipe()
-            part = Plan(**{**vars(plan), "steps": [(t, rate / len(parts)) for t, rate in plan.steps],
-                           "connections": plan.connections // len(parts), "seed": plan.seed + at})
-            process = CONTEXT.Process(target=load, args=(part, self.where, core, there), daemon=True)
+            plan, most = play.plan(len(parts)), play.connections // len(parts)
+            process = CONTEXT.Process(target=load, daemon=True, args=(
+                plan, play.seed + self.groups, self.where, self.groups, most, core, there))
             process.start()
             pipes.append(here)
+            self.groups += 1
         began = time.monotonic() + 0.25      # about when the clients begin
         waiting = sorted(acts, key=lambda act: act[0])
         while not all(pipe.poll() for pipe in pipes):
@@ -111,21 +141,22 @@
                                     ("descriptors", self.sidecar.descriptors()),
                                     ("threads", self.sidecar.threads())):
                     self.most[name] = max(self.most.get(name, 0), value)
-        count = pipes[0].recv()
+        met = pipes[0].recv()
         for pipe in pipes[1:]:
-            count.merge(pipe.recv())
-        return count
+            met.merge(pipe.recv())
+        self.once |= met.once
+        return met
 
     def capacity(self) -> float:
         """Submissions a second in a closed loop on 64 connections."""
-        count = self.play(Plan([(0.0, 30_000.0)], 4.0, connections=64, patience=2.5, retries=0, seed=99))
-        return sum(count.good[1:4] + count.late[1:4]) / 3
+        met = self.play(Play([(0.0, CLOSED)], 4.0, connections=64, patience=2.5, retries=0, seed=99))
+        return sum(met.columns["good"][1:4] + met.columns["late"][1:4]) / 3
 
     def used(self) -> str:
         return ", ".join(f"{value:.0f} {name}" for name, value in self.most.items())
 
     def doubled(self) -> int:
-        self.pipe.send(None)
+        self.pipe.send(self.once)
         return self.pipe.recv()
 
     def end(self) -> None:
@@ -135,9 +166,9 @@
 
 
 @contextmanager
-def place(root: Path, cores: list[int], body: int = 200) -> Iterator[Place]:
+def place(root: Path, cores: list[int]) -> Iterator[Place]:
     with tempfile.TemporaryDirectory() as folder:
-        one = Place(root, cores, Path(folder), body)
+        one = Place(root, cores, Path(folder))
         try:
             yield one
         finally:
@@ -148,8 +179,9 @@
     return [int(core) for core in text.split(",")]
 
 
-def quantile(values: list[float], share: float) -> float:
-    return sorted(values)[min(len(values) - 1, int(len(values) * share))] * 1e3 if values else 0.0
+def quantile(values: list[int], share: float) -> float:
+    """Of microseconds, in milliseconds."""
+    return sorted(values)[min(len(values) - 1, int(len(values) * share))] / 1e3 if values else 0.0
 
 
 @click.group()
@@ -179,16 +211,20 @@
             for name, root in roots.items():
                 for times in wanted:
                     with place(root, places(cores)) as one:
-                        count = one.play(Plan([(0.0, times * capacity)], seconds, seed=run * 16 + 1,
-                                              retries=10 if at_once else 1, heeds=not at_once))
-                        good = sum(count.good[1:seconds]) / (seconds - 1)
+                        met = one.play(Play([(0.0, times * capacity)], seconds, seed=run * 16 + 1,
+                                            retries=10 if at_once else 1, heeds=not at_once))
+                        columns = met.columns
+                        good = sum(columns["good"][1:seconds]) / (seconds - 1)
                         found.setdefault(name, {}).setdefault(times, []).append(good / capacity)
                         print(f"{name} run {run} load {times:4.1f} x {capacity:5.0f}/s: good {good:6.0f}/s "
-                              f"({good / capacity:.2f}), p99 {quantile(count.times, 0.99):4.0f} ms, deferred "
-                              f"{sum(count.deferred)}, refusal p50 {quantile(count.refusals, 0.5):.1f} ms, "
-                              f"unanswered {sum(count.unanswered)}, forfeited {sum(count.forfeited)}, lost "
-                              f"{sum(count.lost)}, doubled {one.doubled()}, {one.used()}"
-                              f"{', VOID: clients were late' if count.behind > 0.05 else ''}", flush=True)
+                              f"({good / capacity:.2f}), p99 {quantile(met.times, 0.99):4.0f} ms, "
+                              f"deferred {sum(columns['deferred'])}, "
+                              f"refusal p50 {quantile(met.deferrals, 0.5):.1f} ms, "
+                              f"unanswered {sum(columns['lost'])}, "
+                              f"forfeited {sum(columns['forfeited'])}, "
+                              f"no connection {sum(columns['refused'])}, "
+                              f"doubled {one.doubled()}, {one.used()}"
+                              f"{', VOID: clients were late' if met.behind_ms > LATE_MS else ''}", flush=True)
     for name, loads_of in found.items():
         middle = {times: statistics.median(values) for times, values in loads_of.items()}
         peak = max(middle.values())
@@ -219,13 +255,13 @@
     figure.savefig(path, dpi=110)
 
 
-def cases_of(one: Place, capacity: float) -> dict[str, tuple[Plan, list, float, float]]:
+def cases_of(one: Place, capacity: float) -> dict[str, tuple[Play, list, float, float]]:
     """Name: plan, acts, and from when to when the trouble lasts."""
     pid = one.sidecar.process.pid
 
-    def plan(*steps: tuple[float, float], **more) -> Plan:
+    def plan(*steps: tuple[float, float], **more) -> Play:
         lasts = more.pop("lasts", steps[-1][0] + 5)
-        return Plan([(at, times * capacity) for at, times in steps], lasts, **more)
+        return Play([(at, times * capacity) for at, times in steps], lasts, **more)
 
     def stop() -> None:
         os.kill(pid, signal.SIGSTOP)
@@ -251,7 +287,7 @@
         plan((0, 0.7), lasts=14), [(3, more_neighbours), (8, fewer_neighbours)], 3, 8)
     found["stopped for 300 ms at 0.7 x"] = (plan((0, 0.7), lasts=9), [(3, stop)], 3, 4)
     found["servers 10 times slower at 0.7 x"] = (
-        plan((0, 0.7), lasts=13), [(3, lambda: one.pipe.send(0.05)), (8, lambda: one.pipe.send(0.005))], 3, 8)
+        plan((0, 0.7), lasts=13), [(3, lambda: one.pipe.send(0.1)), (8, lambda: one.pipe.send(1.0))], 3, 8)
     found["bodies of 60 KB, 4 x for 5 s"] = (plan((0, 0.2), (3, 4), (8, 0.2), body=60_000), [], 3, 8)
     found["SIGHUP five times, 4 x for 5 s"] = (
         plan((0, 0.5), (3, 4), (8, 0.5)),
@@ -277,16 +313,16 @@
             if only not in name:
                 continue
             with place(root, places(cores)) as one:
-                plan, acts, begins, ends = cases_of(one, capacity)[name]
-                count = one.play(plan, acts)
+                play, acts, begins, ends = cases_of(one, capacity)[name]
+                columns = one.play(play, acts).columns
                 during = range(int(begins), int(ends))
-                good = sum(count.good[at] for at in during) / len(during)
-                share = good * len(during) / max(1, sum(count.offered[at] for at in during))
-                back = next((at - int(ends) for at in range(int(ends), int(plan.lasts))
-                             if count.good[at] >= 0.95 * count.offered[at]), None)
+                good = sum(columns["good"][at] for at in during) / len(during)
+                share = good * len(during) / max(1, sum(columns["offered"][at] for at in during))
+                back = next((at - int(ends) for at in range(int(ends), int(play.lasts))
+                             if columns["good"][at] >= 0.95 * columns["offered"][at]), None)
                 print(f"{name:34} good {good / capacity:.2f} of capacity, {share:.2f} of offered; back after "
-                      f"{back} s; lost {sum(count.lost)}, doubled {one.doubled()}, unanswered "
-                      f"{sum(count.unanswered)}, no connection {sum(count.no_connection)}; "
+                      f"{back} s; doubled {one.doubled()}, unanswered {sum(columns['lost'])}, "
+                      f"no connection {sum(columns['refused'])}; "
                       f"{json.dumps({key: round(value) for key, value in one.most.items()})}", flush=True)
 
 
--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -19,18 +19,22 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from pumicepath.compiled import FORM  # noqa: E402
-from pumicepath.discovery.roster import Roster  # noqa: E402
 from pumicepath.http1 import writing  # noqa: E402
 from pumicepath.http1.parsing import MOST_BODY, RequestParser, ResponseParser  # noqa: E402
-from pumicepath.interface import Listing, Outcome  # noqa: E402
-from pumicepath.lab.loopback.fleet import Fleet, configuration  # noqa: E402
-from pumicepath.lab.loopback.load import HEAD  # noqa: E402
+from pumicepath.interface import Entry, Listing, Outcome, Phase  # noqa: E402
+from pumicepath.lab.loopback.servers import ANSWERS  # noqa: E402
+from pumicepath.lab.loopback.wires import asked as request_of  # noqa: E402
+from pumicepath.lab.spec import Load, Plan, Sidecars, Tariff  # noqa: E402
+from pumicepath.lab.spec import told as settings_of
 from pumicepath.logic import Balancer  # noqa: E402
 from pumicepath.sidecar import answers, config  # noqa: E402
 from pumicepath.sidecar.entrance import Entrance  # noqa: E402
 from pumicepath.sidecar.submissions import asked  # noqa: E402
 
-REQUEST = HEAD % (b"GET", 1234567, b"read", 77, 2000) + b"\r\n"
+REQUEST = request_of("read", True, "12d687-1", 77, 2000, False, 0)
+ANSWER = ANSWERS[Outcome.OK]
+PLAN = Plan(sidecars=Sidecars(count=1), load=Load(tariffs=(
+    Tariff(name="read"), Tariff(name="once", effect="at_most_once", gain=3.0))))
 
 
 class Nowhere:
@@ -41,9 +45,8 @@
 
 
 def parts() -> dict[str, Callable[[], object]]:
-    fleet = Fleet(4, lambda: 0.0)
-    fleet.discovery = "127.0.0.1:1"
-    told = config.config(configuration(fleet))
+    told = config.config({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+                          "settings": settings_of(PLAN, 0, 0)})
     request, response = RequestParser(), ResponseParser(MOST_BODY)
 
     def feed(parser, data: bytes):
@@ -59,7 +62,7 @@
         feed(request, REQUEST)
         seen = request.glance()
         request.ring.drop(seen[0])
-    whole, answer = parse(request, REQUEST), parse(response, fleet.answer)
+    whole, answer = parse(request, REQUEST), parse(response, ANSWER)
 
     def onward() -> bytes:
         headers = [(name, value) for name, value in whole.passed_on() if name.lower() != "x-expires-in-ms"]
@@ -76,14 +79,13 @@
         "what it asks": lambda: asked(whole, told.tariffs, told.settings.tariffs),
         "through the entrance, twice": through,
         "write the hop": onward,
-        "read the answer": lambda: parse(response, fleet.answer),
+        "read the answer": lambda: parse(response, ANSWER),
         "write the answer": lambda: writing.response(*answers.succeeded(answer), True),
         "glance at a request": glance,
     }
     for servers in (4, 9, 12):
-        fleet.addresses = [f"127.0.0.1:{9000 + at}" for at in range(servers)]
         balancer = Balancer(told.settings, 1, Nowhere())
-        balancer.listed(0, Listing.FULL, Roster(told.zones, lambda born: 0).read(fleet.listing()).entries)
+        balancer.listed(0, Listing.FULL, [Entry(at, 0, 0, Phase.READY, 1.0, 0) for at in range(servers)])
         found[f"decide, {servers} servers"] = decisions(balancer)
     return found
 
--- a/pumicepath/lab/loopback/sidecars.py
+++ b/pumicepath/lab/loopback/sidecars.py
@@ -16,17 +16,15 @@
 import orjson
 
 from ...http1 import writing
-from ...http1.messages import Malformed, Response
 from ..faults.clocks import VARIABLE, Page
 from ..faults.disks import Disk
-from ..model.clients import Ask
 from ..model.listing import TWIN
 from ..model.world import Instance
 from ..spec import told
 from ..troubles import KINDS
 from .discovery import Desk
-from .ends import ClientEnd
 from .ground import Ground
+from .wires import Wires
 
 ROOT = Path(__file__).resolve().parents[3]
 READY_S = 30.0
@@ -40,27 +38,22 @@
     return host, int(port or 0)
 
 
-class LiveSidecar(Instance):
+class LiveSidecar(Wires, Instance):
     """`pumicepath serve` beside its clients; killed and started again at the same address."""
 
     def __init__(self, world: Ground, number: int, hall: int, folder: Path) -> None:
+        super().__init__(world)
         self.world = world
         self.number = number
         self.hall = hall
         self.folder = folder
-        self.up = False
-        self.starts = 0
         self.listen = "127.0.0.1:0"
-        self.where = ("127.0.0.1", 0)
         self.process: asyncio.subprocess.Process | None = None
         self.desk = Desk(world, number)
         self.ready = asyncio.Event()
         self.refused: set[str] = set()      # servers whose breakers are open here, by its own log
-        self.idle: list[Wire] = []
-        self.wires: dict[int, Wire] = {}    # by the number of the submission on it
         self.name = f"sidecar-{number}"
         self.stopped = False
-        self.ending = False                 # asked to end, and not begun again
         self.operators = ("", 0)
         self.speaks_at = ("", 0)            # its own socket for peers
         self.state = Disk(folder / f"state-{number}", folder / f"copy-{number}")
@@ -118,13 +111,7 @@
         if not self.desk.address:
             await self.desk.open()
         plan = world.plan
-        self.desk.version += 1
-        config = {
-            "name": f"sidecar-{self.number}", "listen": self.listen, "discovery": self.desk.address,
-            "seed": f"{world.seed * 1_000_003 + self.number * 97 + self.starts:x}",
-            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024},
-            "known": self.desk.listing(True, world.registry.whole()),
-            "settings": told(plan, self.number, self.hall)}
+        config = self.configuration()
         path = self.folder / f"sidecar-{self.number}.json"
         environment = {**os.environ, "GW_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
         command = ["-m", "pumicepath", "serve"]
@@ -147,6 +134,17 @@
         world.processes.append(self.process)
         world.keep(self.read(self.process))
 
+    def configuration(self) -> dict[str, Any]:
+        """What its file says, but for peers; its list must be open."""
+        world = self.world
+        self.desk.version += 1
+        return {
+            "name": f"sidecar-{self.number}", "listen": self.listen, "discovery": self.desk.address,
+            "seed": f"{world.seed * 1_000_003 + self.number * 97 + self.starts:x}",
+            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024},
+            "known": self.desk.listing(True, world.registry.whole()),
+            "settings": told(world.plan, self.number, self.hall)}
+
     async def read(self, process: asyncio.subprocess.Process) -> None:
         """Its log, line by line; it is up once it says where it listens."""
         assert process.stdout is not None
@@ -267,102 +265,3 @@
             return await asyncio.wait_for(ask(), longest_s)
         except (TimeoutError, OSError):
             return b""
-
-    # -- its clients
-
-    def take(self, ask: Ask) -> bool:
-        if not self.up:
-            return False
-        while self.idle:
-            wire = self.idle.pop()
-            if not wire.transport.is_closing():
-                wire.send(ask)
-                return True
-        self.world.keep(self.dial(ask))
-        return True
-
-    async def dial(self, ask: Ask) -> None:
-        turn = ask.turn
-        try:
-            wire = (await self.world.loop.create_connection(lambda: Wire(self), *self.where))[1]
-        except OSError:
-            if turn == ask.turn:
-                ask.clients.unreached(ask)
-            return
-        if ask.over or turn != ask.turn:
-            self.idle.append(wire)
-        else:
-            wire.send(ask)
-
-    def left(self, ask: Ask) -> None:
-        wire = self.wires.pop(ask.number, None)
-        if wire is not None:
-            wire.ask = None
-            wire.transport.abort()
-
-
-class Wire(ClientEnd):
-    """One connection of a client, a submission at a time."""
-
-    def __init__(self, sidecar: LiveSidecar) -> None:
-        super().__init__()
-        self.sidecar = sidecar
-        self.starts = sidecar.starts
-        self.ask: Ask | None = None
-        self.turn = 0
-        self.used = False
-
-    def send(self, ask: Ask) -> None:
-        sidecar, world = self.sidecar, self.sidecar.world
-        self.ask, self.turn = ask, ask.turn
-        sidecar.wires[ask.number] = self
-        tariff = world.plan.load.tariffs[ask.tariff]
-        left = max(1, (ask.until - world.timeline.now) // 1000)
-        headers = [("Host", "api"), ("X-Trace-Id", f"{ask.number:x}-{ask.tries}"),
-                   ("X-Qos", tariff.name), ("X-Expires-In-Ms", str(left)), ("X-Object", f"{ask.key:x}")]
-        if ask.tries > 1:
-            headers.append(("X-Second-Try", "1"))
-        safe = tariff.effect == "idempotent"
-        world.judge.tried(ask.number, ask.tariff, ask.until)
-        self.transport.write(writing.request("GET" if safe else "POST", "/lab", headers,
-                                             b"" if safe else b"b" * 100))
-
-    def malformed(self, trouble: Malformed) -> None:
-        self.sidecar.world.note(f"client got {trouble}")
-        self.transport.abort()
-
-    def answered(self, response: Response) -> None:
-        ask, self.ask = self.ask, None
-        self.used = True
-        if response.keeps():
-            self.sidecar.idle.append(self)
-        else:
-            self.transport.close()
-        if ask is None:
-            self.sidecar.world.note("an answer that nobody asked for")
-            return
-        self.sidecar.wires.pop(ask.number, None)
-        if response.status == 200:
-            ask.clients.succeeded(ask, self.turn)
-        elif response.status == 503:
-            advice = float(response.header("retry-after") or 0.0)
-            ask.clients.deferred(ask, self.turn, round(advice * 1e6))
-        else:
-            ask.clients.forfeited(ask, self.turn)
-
-    def connection_lost(self, trouble: Exception | None) -> None:
-        sidecar = self.sidecar
-        if self in sidecar.idle:
-            sidecar.idle.remove(self)
-        ask, self.ask = self.ask, None
-        if ask is None:
-            return
-        sidecar.wires.pop(ask.number, None)
-        if not sidecar.up or sidecar.starts != self.starts or sidecar.ending and not self.used:
-            # With its process, or, as that ended, before it was accepted.
-            ask.clients.cut(ask, sidecar.world.tariffs[ask.tariff].effect != 0)
-        elif self.used and not ask.over:
-            # It crossed the end of a connection that had stood idle: once more, on a new one, under the same
-            # id, so that a sidecar that had taken it would refuse it.
-            sidecar.world.judge.gone(ask.number)
-            sidecar.world.keep(sidecar.dial(ask))
--- a/pumicepath/lab/loopback/world.py
+++ b/pumicepath/lab/loopback/world.py
@@ -13,6 +13,7 @@
 
 from ..faults.history import VERSION, History
 from ..faults.recording import Recorded
+from ..model.judge import Judge
 from ..model.links import Links
 from ..model.result import Result, result
 from ..model.timeline import SECOND
@@ -40,7 +41,8 @@
 
     timeline: Live
 
-    def __init__(self, plan: Plan, seed: int, folder: Path, history: Path | None = None) -> None:
+    def __init__(self, plan: Plan, seed: int, folder: Path, history: Path | None = None,
+                 judging: Callable[..., Judge] | None = None) -> None:
         self.loop = asyncio.get_running_loop()
         timeline = Live(self.loop)
         self.playing = False
@@ -56,7 +58,7 @@
         self.at_servers: list[list[int]] = []
         self.breakers: list[list[float]] = []
         super().__init__(plan, seed, timeline, LiveServer, SLACK,
-                         functools.partial(Recorded, history=self.history))
+                         judging or functools.partial(Recorded, history=self.history))
         if plan.sidecars.peers:
             self.links = Links(timeline, seed)
             self.relays = Relays(self.links)
--- a/pumicepath/lab/spec.py
+++ b/pumicepath/lab/spec.py
@@ -82,6 +82,7 @@
     zipf: Time = 0.8
     drift_s: Time = 0.0
     leaves: Share = 0.0
+    body: Annotated[int, Field(ge=0, le=10_000_000)] = 100  # bytes, of what is not idempotent, on loopback
     retries: Annotated[int, Field(ge=0)] = 1
     back_off_ms: Positive = 50.0
     heeds: bool = True
