--- a/pumicepath/lab/virtual/holders.py
+++ b/pumicepath/lab/virtual/holders.py
@@ -35,6 +35,7 @@
     remembers: bool = True                          # whether a voter knows what it granted
     fenced: bool = True                             # whether the place looks at numbers
     checked_late: bool = True                       # whether the check comes with the act, not before it
+    both: bool = True                               # whether a change of voters goes by a file with both sets
 
 
 @dataclass
@@ -58,6 +59,7 @@
         self.rate = rate
         self.origin = (number + 1) * 1_000 * SECOND
         self.off_ms = number * 37 % 100
+        self.file = self.given_file = 0     # what its process goes by, and what the file on its disk says
         self.starts = 0
         self.up = self.stopped = False
         self.queue: list[tuple[int, bytes]] = []
@@ -76,15 +78,38 @@
         self.starts += 1
         self.up, self.stopped, self.queue = True, False, []
         self.life = Record(f"n{self.number}", (self.number + 1) * 1_000_000 + self.starts, self.address, "")
-        self.duties = Duties(self.life.born, holders.given, holders.seed * 1000 + self.number * 10
+        self.file = self.given_file
+        self.duties = Duties(self.life.born, self.given(), holders.seed * 1000 + self.number * 10
                              + self.starts, self, now)
         self.duties.want(now, holders.names)
-        if self.number < holders.voters:
-            self.voter = Voter(sorted(holders.given.names()), LEASE, holders.given.drift, now)
-            if self.starts == 1 or not holders.planted.silent:
-                self.voter.silent_until = now
+        self.voter = None
+        self.vote(now)
+        if self.voter is not None and self.starts == 1:
+            self.voter.silent_until = now
         holders.time.at(holders.time.now, self.tick, self.starts)
 
+    def given(self) -> Given:
+        return self.holders.files[self.file]
+
+    def vote(self, now: int) -> None:
+        """Be a voter if the file says so; one that becomes it knows nothing of what was granted."""
+        names = sorted(self.given().names())
+        if self.address not in self.given().voters():
+            self.voter = None
+        elif self.voter is None:
+            self.voter = Voter(names, LEASE, DRIFT, now)
+            if not self.holders.planted.silent:
+                self.voter.silent_until = now
+        else:
+            self.voter.adopt(names)
+
+    def hang_up(self) -> None:
+        """SIGHUP, or what of it was pending."""
+        if self.up and not self.stopped and self.file != self.given_file:
+            self.file = self.given_file
+            self.duties.adopt(self.clock(), self.given())
+            self.vote(self.clock())
+
     def kill(self) -> None:
         self.up = False
 
@@ -98,6 +123,7 @@
 
     def go_on(self) -> None:
         self.stopped = False
+        self.hang_up()
         queue, self.queue = self.queue, []
         for source, data in queue:
             self.came(source, data)
@@ -105,7 +131,7 @@
     # -- the outlet of its duties
 
     def claim(self, voter: str, round_: int, claims: Sequence[Claim]) -> None:
-        given = self.holders.given
+        given = self.given()
         told = [Claimed(one.duty, one.number, one.release) for one in claims]
         self.holders.send(self, voter, Claims(self.life, 0, round_, given.lease, sorted(given.names()), told))
 
@@ -155,7 +181,10 @@
         self.voters = voters
         self.names = list(names)
         self.planted = planted
-        self.given = Given((tuple(address(number) for number in range(voters)),), LEASE, DRIFT)
+        before = tuple(address(number) for number in range(voters))
+        after = tuple(address(number) for number in range(count - voters, count))
+        both = (before, after) if planted.both else (after,)
+        self.files = [Given(sets, LEASE, DRIFT) for sets in ((before,), both, (after,))]
         self.members = [Member(self, number, 1.0 + self.chance.choice((-worst, 0.0, worst)))
                         for number in range(count)]
         self.by_address = {one.address: one for one in self.members}
@@ -184,7 +213,7 @@
         if self.planted.held_for is not None:
             mine = one.duties.duties[duty]
             until = mine.asked_at + self.planted.held_for(LEASE)
-            if mine.until and len(mine.granted) * 2 > self.voters and one.clock() < until:
+            if mine.until and one.duties.won(mine) and one.clock() < until:
                 return mine.number
         return one.duties.number(one.clock(), duty)
 
@@ -282,6 +311,24 @@
                 noise = Noise(by.uniform(0, 0.5), by.uniform(0, 0.3), by.uniform(0, 0.1), 0,
                               by.choice((1_000, 300_000, 20 * SECOND)))
                 with_undo(lambda noise=noise: made.links.disturb(every, noise), lasts)  # type: ignore[misc]
+    if by.random() < 0.5:
+        # The voters change: the file with both sets comes to all in any order, then that with the new ones.
+        def change(file: int) -> None:
+            for number in by.sample(every, len(every)):
+                made.time.at(made.time.now + round(by.uniform(0.0, 4.0) * SECOND), lay, number, file)
+            if file == 1:
+                made.time.at(made.time.now + 4 * SECOND, go_on_to)
+
+        def lay(number: int, file: int) -> None:
+            made.members[number].given_file = file
+            made.members[number].hang_up()
+
+        def go_on_to() -> None:
+            if any(one.up and one.file < 1 for one in made.members):
+                made.time.at(made.time.now + SECOND, go_on_to)      # one that is stopped goes by the old file
+            else:
+                change(2)
+        at_some_time(lambda: change(1), 0)
     made.time.run(round(lasts_s * SECOND))
     for one in made.members:
         if not one.up:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -37,9 +37,9 @@
 
 @pytest.mark.parametrize("planted", (
     Planted(held_for=lambda lease: lease), Planted(silent=False), Planted(remembers=False),
-    Planted(fenced=False), Planted(checked_late=False)), ids=(
+    Planted(fenced=False), Planted(checked_late=False), Planted(both=False)), ids=(
         "no drift margin", "no silence after a restart", "votes not remembered", "fence not looked at",
-        "checked before it was queued"))
+        "checked before it was queued", "voters changed in one step"))
 def test_checks_catch_planted_faults(planted: Planted) -> None:
     worst = 0.05 if planted.held_for is not None else DRIFT
     assert any(broken(schedule(seed, planted, worst=worst)) for seed in range(100))
