--- a/pumicepath/lab/loopback/world.py
+++ b/pumicepath/lab/loopback/world.py
@@ -61,6 +61,7 @@
                          judging or functools.partial(Recorded, history=self.history))
         if plan.sidecars.peers:
             self.links = Links(timeline, seed)
+            self.links.witness = self.carried
             self.relays = Relays(self.links)
         self.sidecars = [LiveSidecar(self, number, self.hall_of(number), folder)
                          for number in range(plan.sidecars.count)]
@@ -101,6 +102,12 @@
         if self.links is not None:
             self.relays.bind(sidecar, where)
 
+    def carried(self, one: int, other: int, size: int, copies: int, why: str) -> None:
+        """What the relays saw of each datagram, once the run counts."""
+        if self.playing:
+            self.history.write("links", "datagram", sender=one, to=other, bytes=size,
+                               **({"copies": copies} if copies else {"dropped": why}))
+
     def mark(self, text: str, lasts: int = 0) -> None:
         super().mark(text, lasts)
         self.history.write("rig", "fault", kind=text.partition(":")[0], text=text,
--- a/pumicepath/lab/model/links.py
+++ b/pumicepath/lab/model/links.py
@@ -43,6 +43,8 @@
         self.sent: Counter[int] = Counter()                 # messages by who sent them,
         self.bytes: Counter[int] = Counter()                # and their bytes
         self.dropped = 0
+        # Told of each datagram: from whom, to whom, its bytes, how many copies of it go on, or why none.
+        self.witness: Callable[[int, int, int, int, str], None] | None = None
 
     def cut(self, from_: Collection[int], to: Collection[int], both: bool = True) -> Callable[[], None]:
         """Nothing goes from one group to the other (nor back, if `both`); undone by what it gives back."""
@@ -64,15 +66,13 @@
         self.sent[one] += 1
         self.bytes[one] += len(data)
         if any(one in from_ and other in to for from_, to in self.cuts):
-            self.dropped += 1
-            return
+            return self.drop(one, other, data, "cut")
         delay, copies, draw = self.usual, 1, self.chance.random
         for who, noise in self.noises:
             if one not in who and other not in who:
                 continue
             if draw() < noise.loss:
-                self.dropped += 1
-                return
+                return self.drop(one, other, data, "lost")
             copies += draw() < noise.doubled
             if draw() < noise.spoilt and data:
                 at = int(draw() * len(data))
@@ -81,10 +81,16 @@
                 now = self.timeline.now
                 free = max(now, self.free.get((one, other), 0)) + len(data) * SECOND // noise.rate
                 if free - now > LONGEST_QUEUE:
-                    self.dropped += 1
-                    return
+                    return self.drop(one, other, data, "too long a queue")
                 self.free[one, other] = free
                 delay += free - now
             delay += noise.delay + int(draw() * noise.spread)
+        if self.witness is not None:
+            self.witness(one, other, len(data), copies, "")
         for _ in range(copies):
             self.timeline.at(self.timeline.now + delay, deliver, data)
+
+    def drop(self, one: int, other: int, data: bytes, why: str) -> None:
+        self.dropped += 1
+        if self.witness is not None:
+            self.witness(one, other, len(data), 0, why)
--- a/pumicepath/lab/model/result.py
+++ b/pumicepath/lab/model/result.py
@@ -26,6 +26,7 @@
     marks: list[tuple[int, int, str]]
     events: int
     hops: int
+    wasted: int                     # hops that servers failed, refused or reset
     at_servers: list[list[int]] = field(default_factory=list)
     breakers: list[list[float]] = field(default_factory=list)
     log: list[str] = field(default_factory=list)
@@ -40,7 +41,8 @@
         columns={name: getattr(tally, name) for name in COLUMNS}, times=tally.times,
         rules=dict(judge.broken), first=dict(judge.first), finals=dict(judge.finals),
         marks=[(mark.at, mark.until, mark.text) for mark in world.marks], events=events,
-        hops=sum(server.done for server in world.servers.values()), at_servers=at_servers,
+        hops=sum(server.done for server in world.servers.values()),
+        wasted=sum(server.failed for server in world.servers.values()), at_servers=at_servers,
         breakers=breakers, log=log, views_wrong=views_wrong or [])
 
 
@@ -51,4 +53,4 @@
         "seed": result.seed, "policy": result.policy, "service": round(result.service, 4),
         **{name: sum(column) for name, column in result.columns.items()},
         "p50_ms": percentile(every, 0.5), "p99_ms": percentile(every, 0.99), "events": result.events,
-        "hops": result.hops, "rules": result.rules, "finals": result.finals}
+        "hops": result.hops, "wasted": result.wasted, "rules": result.rules, "finals": result.finals}
--- a/pumicepath/lab/model/servers.py
+++ b/pumicepath/lab/model/servers.py
@@ -103,6 +103,7 @@
         self.arrivals: deque[tuple[int, int, int, bool]] = deque()
         self.arrived = 0            # work among them
         self.done = 0
+        self.failed = 0             # hops that ended otherwise, but for those that nobody waited for any more
 
     # -- its process
 
@@ -240,6 +241,7 @@
     def end(self, job: Job, outcome: Outcome) -> None:
         if not job.gone:
             job.gone = True
+            self.failed += outcome not in (Outcome.OK, Outcome.CANCELLED)
             job.reply(outcome)
 
     def count_push(self, job: Job) -> None:
