The rig lets the process go on that it stopped, though another has taken its place since

Found by five minutes of random faults on 15 real processes: a sidecar was replaced while it was stopped, and the signal to go on went to the new process. The old one stayed stopped with the kernel still giving it half of the connections, and 24 submissions had no answer, which the judge held against the sidecar: its stop was over. Stopped processes are remembered one by one now, let go on or killed with their sidecar; the test hangs on the old code.

--- a/pumicepath/lab/loopback/sidecars.py
+++ b/pumicepath/lab/loopback/sidecars.py
@@ -54,6 +54,7 @@
         self.refused: set[str] = set()      # servers whose breakers are open here, by its own log
         self.name = f"sidecar-{number}"
         self.stopped = False
+        self.halted: list[asyncio.subprocess.Process | None] = []   # its processes that are stopped
         self.operators = ("", 0)
         self.speaks_at = ("", 0)            # its own socket for peers
         self.state = Disk(folder / f"state-{number}", folder / f"copy-{number}")
@@ -181,21 +182,29 @@
         self.world.registry.leave(self.number)
         self.world.history.write("rig", "killed", sidecar=self.number)
         self.tell(signal.SIGKILL)
+        while self.halted:
+            self.signal(self.halted.pop(), signal.SIGKILL)
 
     def tell(self, what: signal.Signals) -> None:
-        if self.process is not None and self.process.returncode is None:
+        self.signal(self.process, what)
+
+    def signal(self, process: asyncio.subprocess.Process | None, what: signal.Signals) -> None:
+        if process is not None and process.returncode is None:
             with suppress(ProcessLookupError):
-                self.process.send_signal(what)
+                process.send_signal(what)
 
     def stop(self) -> None:
         self.stopped = True
         self.world.judge.stop(self.number, True)
+        self.halted.append(self.process)
         self.tell(signal.SIGSTOP)
 
     def go_on(self) -> None:
+        """Whichever process was stopped, though it may have been replaced since."""
         if self.stopped:
             self.stopped = False
-            self.tell(signal.SIGCONT)
+            while self.halted:
+                self.signal(self.halted.pop(), signal.SIGCONT)
             self.world.judge.stop(self.number, False)
 
     def end(self) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -203,3 +203,23 @@
     ended = subprocess.run([sys.executable, "-m", "pumicepath", "serve", "--config", str(around.config)],
                            text=True, capture_output=True, timeout=60)
     assert ended.returncode == 2 and why in ended.stderr
+
+
+def test_a_process_that_is_replaced_while_it_is_stopped_goes_on_and_ends(tmp_path: Path) -> None:
+    """Found by random faults: the rig let its successor go on, and the stopped one never ended."""
+    async def work(stage: Stage) -> None:
+        await stage.right("all have begun")
+        one = stage.sidecars[4]
+        old = one.process
+        assert old is not None
+        one.stop()
+        one.replace()
+        give_up = time.monotonic() + LONGEST_S
+        while one.process is old:
+            assert time.monotonic() < give_up
+            await asyncio.sleep(0.02)
+        one.go_on()
+        await asyncio.wait_for(old.wait(), LONGEST_S)
+        await stage.right("the new process alone")
+    world = played(tmp_path, work)
+    assert [world.judge.broken[rule] for rule in NEVER] == [0] * len(NEVER), world.judge.first
