--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import signal
 import time
 from pathlib import Path
 from typing import Any
@@ -27,6 +29,7 @@
 from pumicepath.fleet.trials import HIGHEST, KEPT, OWN_EYES, Trials, audience
 from pumicepath.interface import Outcome
 from pumicepath.lab.faults.checks import one_holder
+from pumicepath.lab.loopback.scripted import Deployment
 from pumicepath.lab.spec import Fleet, Load, Plan, Sidecars, Trouble
 from pumicepath.lab.virtual.run import VirtualWorld
 
@@ -386,3 +389,32 @@
         assert not early, (early, killed_ms)
         assert not holding.broken(), holding.broken()[:3]
     played(tmp_path, work, plan)
+
+
+def test_voters_come_and_go_with_the_file_and_what_peers_are_stays(tmp_path: Path) -> None:
+    peers: dict[str, Any] = {"listen": "127.0.0.1:0", "everyS": 0.2}
+    around = Deployment(tmp_path, 1, admin_addr="127.0.0.1:0", peers=peers)
+
+    def load(**changed: object) -> dict[str, Any]:
+        around.config.write_text(json.dumps({**around.told, "peers": {**peers, **changed}}))
+        around.process.send_signal(signal.SIGHUP)
+        waiting = around.event("reloaded")["needs_restart"]
+        view = around.call("GET", "/peers")
+        assert view is not None
+        return {"waiting": waiting, **json.loads(view.body)}
+    with around.running():
+        mine = json.loads(around.call("GET", "/peers").body)["address"]     # type: ignore[union-attr]
+        told = load(voters=[mine], leaseS=1, longestS=40, trials=True)
+        assert told["waiting"] == [] and told["fit"] and told["holds"] == told["granted"] == []
+        assert 30 < told["silent_s"] < 41, "one that becomes a voter knows nothing of what was granted"
+        told = load(voters=["127.0.0.1:1"], votersBefore=[mine], leaseS=1, longestS=40)
+        assert 0 < told["silent_s"] < 41, "still a voter"
+        told = load(voters=["127.0.0.1:1"], leaseS=1)
+        assert "granted" not in told and told["holds"] == []
+        assert "holds" not in load()
+        assert load(everyS=0.3)["waiting"] == ["peers"]
+        around.config.write_text(json.dumps({**around.told, "peers": {**peers, "voters": ["nobody"]}}))
+        around.process.send_signal(signal.SIGHUP)
+        assert "peers.voters[0]" in around.event("reload_failed")["text"]
+        refused = around.call("PUT", "/peers/duties/trial%20a%20s-0/resign")
+        assert refused is not None and refused.status == 404
