--- a/pumicepath/fleet/trials.py
+++ b/pumicepath/fleet/trials.py
@@ -181,7 +181,8 @@
     def turns(self, now: int) -> dict[str, int]:
         """The servers that are this sidecar's to try, and until when."""
         held = {duty: left for duty, _, left in self.duties.held(now)}
-        return {server: now + held[self.duty(server)] for server in self.open if self.duty(server) in held}
+        return {server: now + held.get(self.duty(server), KEPT) for server in self.open
+                if self.duty(server) in held or not self.shared(server)}
 
     def told_on(self, now: int) -> Iterator[Verdict]:
         """What goes to some others of the zone now: each word once from each sidecar."""
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -154,6 +154,7 @@
     one.at(1).opened(one.now, name, 5 * SECOND, True)
     one.at(20)
     assert not one.duties.duties and not one.lines
+    assert one.trials.turns(one.now)[name] > one.now, "nobody need be waited for"
 
 
 def test_messages_of_duties_with_the_longest_names_fit_into_a_datagram() -> None:
