A voter's word that no voter has is noise, not a fault of the thread that hears it

Read of the change: the bound on the wire allowed verdicts that the type does not know, so that one datagram made the thread of peers log a fault and pause. The test fails on the old bound.

--- a/pumicepath/fleet/messages.py
+++ b/pumicepath/fleet/messages.py
@@ -117,7 +117,7 @@
 class Granted(msgspec.Struct, array_like=True, frozen=True):
     duty: Name
     number: Id
-    verdict: Annotated[int, Meta(ge=0, le=15)]
+    verdict: Annotated[int, Meta(ge=0, le=5)]       # of `leases.Verdict`
     wait: Count
     highest: Id
 
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -20,11 +20,13 @@
     Claims,
     Granted,
     Grants,
+    Noise,
     Record,
     Tried,
     Verdict,
     batches,
     packed,
+    unpacked,
 )
 from pumicepath.fleet.trials import HIGHEST, KEPT, OWN_EYES, Trials, audience
 from pumicepath.interface import Outcome
@@ -168,6 +170,9 @@
     for batch in batches(names, str, 24):
         told = [Verdict(name, high, 60 * SECOND, False) for name in batch]
         assert len(packed(Tried(sender, high, told), 0)) <= LONGEST
+    with pytest.raises(Noise):
+        unpacked(packed(Grants(sender, 0, 1, [Granted("d", 1, max(Said) + 1, 0, 1)]), 0), 0)
+    assert unpacked(packed(Grants(sender, 0, 1, [Granted("d", 1, max(Said), 0, 1)]), 0), 0)
     assert [audience(count) for count in (1, 10, 100, 1000)] == [2, 4, 7, 9]
 
 
