Tariffs bound to zones or kinds, and 'full' that proves nothing, are read and kept at every hop

Change: `allowedIn`, `kindsAllowed` and `rules.fullUnproven` in the settings of both hosts, by number or name, checked with the rest. What is open to a tariff is a `Reach`, worked out when the list or the settings change; picks, last resort, cold turns and popular keys all choose from it, so that nothing else can be sent to. A hop that ends with 'full' may have run where the settings say so, and while they change until both say that it proves something. Rejected: a test in `admits`, once for each server and send, and which the last resort would pass by.

--- a/pumicepath/discovery/roster.py
+++ b/pumicepath/discovery/roster.py
@@ -10,6 +10,7 @@
 
 from ..interface import Entry, Phase
 
+MOST_KINDS = 1024           # kinds of machine that are told apart: bounds what odd lists can fill
 PHASES = {"active": Phase.READY, "leaving": Phase.DRAINING, "left": Phase.GONE}
 
 
@@ -52,9 +53,11 @@
 class Roster:
     """What the list has said so far of the servers on it: their starts by the sidecar's own clock."""
 
-    def __init__(self, zones: Sequence[str], since_unix_ms: Callable[[int], int]) -> None:
+    def __init__(self, zones: Sequence[str], since_unix_ms: Callable[[int], int],
+                 kinds: Sequence[str] = ()) -> None:
         self.numbers = count()
         self.zones = {name: next(self.numbers) for name in zones}
+        self.kinds = {name: at for at, name in enumerate(kinds)}
         self.since_unix_ms = since_unix_ms
         self.starts: dict[str, tuple[int, int]] = {}
         self.lines: dict[str, Any] = {}  # as they came
@@ -86,6 +89,12 @@
         known = self.zones.get(name)
         return self.zones.setdefault(name, next(self.numbers)) if known is None else known
 
+    def kind(self, name: str) -> int:
+        """Its number; -1 for a line that names none, and past the bound."""
+        if name and name not in self.kinds and len(self.kinds) < MOST_KINDS:
+            self.kinds[name] = len(self.kinds)
+        return self.kinds.get(name, -1)
+
     def entry(self, line: dict[str, Any]) -> Entry:
         name, born = str(line["host"]), int(line.get("born_ms", 0))
         kept = self.starts.get(name)
@@ -96,4 +105,5 @@
         if not math.isfinite(float(line.get("share", 1.0))):
             raise ValueError(f"share of {name} is no number")
         cell, share = int(line.get("block", 0)), float(line.get("share", 1.0))
-        return Entry(stable(name), zone, cell, PHASES[line["health"]], share, kept[1], name)
+        return Entry(stable(name), zone, cell, PHASES[line["health"]], share, kept[1], name,
+                     self.kind(str(line.get("class", ""))))
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -67,6 +67,7 @@
 VERSION = 1                 # of the messages: this, then how often each length was used, how often in vain
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 NEUTRAL = (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT)
+Place = tuple[tuple[int, ...] | None, tuple[int, ...] | None]  # zones and kinds of servers; None: any
 
 
 class Chance:
@@ -159,13 +160,25 @@
         self.rest = 0
 
 
+class Reach:
+    """The servers open to some tariffs, those of them that this sidecar uses, and keys' draws of these."""
+
+    __slots__ = ("ready", "near", "draws")
+
+    def __init__(self, ready: list[int], near: list[int]) -> None:
+        self.ready = ready
+        self.near = near
+        self.draws: dict[int, list[float]] = {}
+
+
 class Terms:
     """What a tariff says, and how long its submissions take; they end under what they were taken by."""
 
-    __slots__ = ("tariff", "agreed", "usual", "calm", "samples")
+    __slots__ = ("tariff", "place", "agreed", "usual", "calm", "samples")
 
     def __init__(self, tariff: Tariff, before: Terms | None = None) -> None:
         self.tariff = tariff
+        self.place: Place = (tariff.zones, tariff.kinds)
         self.agreed = tariff.agreed
         self.usual: float = before.usual if before else max(1.0, tariff.agreed / 4)
         self.calm: float = before.calm if before else self.usual
@@ -227,7 +240,8 @@
             return
         hop.out = False
         self.out -= 1
-        hop.may_have_run = outcome not in NEVER_RAN
+        hop.may_have_run = outcome not in NEVER_RAN or (
+            outcome == Outcome.FULL and self.balancer.settings.full_unproven)
         if outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             self.balancer.found(outcome == Outcome.FULL)
         self.balancer.hop_ended(now, self.terms, hop, outcome, spent)
@@ -349,6 +363,7 @@
         self.names: list[str] = []
         self.zone: list[int] = []
         self.cell: list[int] = []
+        self.kind: list[int] = []
         self.phase: list[Phase] = []
         self.scale: list[float] = []
         self.tokens: list[float] = []  # what may be sent to a cold server at once
@@ -358,7 +373,7 @@
         self.told_up: list[int] = []
         self.salt: list[int] = []
         self.ready: list[int] = []
-        self.near: list[int] = []  # those of them that this sidecar uses
+        self.reaches: dict[Place, Reach] = {}  # by where tariffs may go
         self.by_hand: dict[int, int] = {}  # ids that operators have taken out, and since when
         self.drained: dict[int, int] = {}  # the starts of servers that drain, where that alone binds
         self.returned: dict[int, int] = {}  # when those came back that may still be cold
@@ -397,10 +412,9 @@
         self.gap = 0.0
         self.taken = 0
         self.taken_at = 0
-        # The keys of the last submissions, how often each is among them, and their draws of the servers.
+        # The keys of the last submissions, and how often each is among them.
         self.recent: deque[int] = deque()
         self.met: dict[int, int] = {}
-        self.draws: dict[int, list[float]] = {}
         # How much may be out, how much could after the last cut, when that was, and the share of tardy hops.
         self.level = 0.0
         self.level_at = 0
@@ -443,8 +457,8 @@
             if at >= 0 and entry.phase == Phase.GONE:
                 self.drop(now, at)
                 changed = True
-            elif at >= 0 and (entry.phase, entry.came_up, entry.zone, entry.cell) == (
-                    self.phase[at], self.told_up[at], self.zone[at], self.cell[at]):
+            elif at >= 0 and (entry.phase, entry.came_up, entry.zone, entry.cell, entry.kind) == (
+                    self.phase[at], self.told_up[at], self.zone[at], self.cell[at], self.kind[at]):
                 self.weigh(at, entry)  # all that a renewal of live scales costs
             elif entry.phase != Phase.GONE or at >= 0:
                 self.note(now, entry)
@@ -492,7 +506,23 @@
     def choose_ready(self) -> None:
         self.ready = [at for at, phase in enumerate(self.phase)
                       if phase == Phase.READY and self.ids[at] not in self.by_hand]
-        self.choose_near(True)
+        self.choose_reaches()
+
+    def choose_reaches(self) -> None:
+        """What is open to each tariff changes with the list and with the tariffs, not from hop to hop."""
+        self.reaches.clear()
+        for terms in self.terms:
+            self.reach_of(terms.place)
+
+    def reach_of(self, place: Place) -> Reach:
+        """The servers of some zones and kinds; those of terms of before are worked out when asked for."""
+        reach = self.reaches.get(place)
+        if reach is None:
+            zones, kinds = place
+            ready = [at for at in self.ready if (zones is None or self.zone[at] in zones)
+                     and (kinds is None or self.kind[at] in kinds)]
+            reach = self.reaches[place] = Reach(ready, self.nearest(ready))
+        return reach
 
     def hand(self, now: int, server: int, out: bool, certain: bool = False) -> bool:
         """Take a server out by hand, or let it serve again; False for an id that nobody has.
@@ -525,29 +555,34 @@
         listed = [at for at in self.index.values() if self.phase[at] != Phase.GONE]
         return len(listed), sum(self.state[at] != CLOSED or self.ids[at] in self.by_hand for at in listed)
 
-    def choose_near(self, changed: bool = False) -> None:
+    def choose_near(self) -> None:
+        """A breaker has opened or closed."""
+        for reach in self.reaches.values():
+            near = self.nearest(reach.ready)
+            if near != reach.near:
+                reach.draws.clear()
+            reach.near = near
+
+    def nearest(self, ready: list[int]) -> list[int]:
         """The servers that this sidecar uses: all, or, where connections cost, the first of its own order.
 
         Guards servers that take few connections, each of which costs, against hundreds of sidecars.  One
         whose breaker is not closed stays among them for its trials; the next in the order stands in for it.
         """
-        ready = self.ready
         price = self.settings.connection_price * self.settings.fleet
         most = len(ready)
         if price > 0:
             most = max(FEWEST, math.ceil(math.sqrt(SPREAD * 100 * len(ready) / price)))
-        if most < len(ready):
-            mine = mix(self.settings.me + 1)
-            near = []
-            for _, at in sorted((mix(mine ^ self.salt[at]), at) for at in ready):
-                near.append(at)
-                most -= self.state[at] == CLOSED
-                if most <= 0:
-                    break
-            ready = sorted(near)
-        if ready != self.near or changed:
-            self.draws.clear()
-        self.near = ready
+        if most >= len(ready):
+            return ready
+        mine = mix(self.settings.me + 1)
+        near = []
+        for _, at in sorted((mix(mine ^ self.salt[at]), at) for at in ready):
+            near.append(at)
+            most -= self.state[at] == CLOSED
+            if most <= 0:
+                break
+        return sorted(near)
 
     def told(self, now: int, data: bytes) -> None:
         """A message of another sidecar: a hint, which may be late, garbled or from another build."""
@@ -578,11 +613,12 @@
             most_hops=min(before.most_hops, settings.most_hops),
             fall_multiple=min(before.fall_multiple, settings.fall_multiple),
             fall_window=min(before.fall_window, settings.fall_window),
+            full_unproven=before.full_unproven or settings.full_unproven,
             ask_every=min(before.ask_every, settings.ask_every))
         self.settling = Settling(self, settings)
         longest = max(self.settings.cold_for, before.fall_window, settings.fall_window)
         self.outlet.wake(now + longest, self.settling)
-        self.choose_near(True)
+        self.choose_reaches()
         if settings.must_ask:
             self.woke(now)
 
@@ -618,10 +654,10 @@
                 at = self.free.pop()
             else:
                 at = len(self.ids)
-                for column in (self.ids, self.salt, self.zone, self.cell, self.state, self.fails, self.since,
-                               self.generation, self.trials, self.lag_at, self.came_up, self.told_up,
-                               self.cooldown, self.tokens_at, self.rested, self.dropped, self.held_at,
-                               self.heard):
+                for column in (self.ids, self.salt, self.zone, self.cell, self.kind, self.state, self.fails,
+                               self.since, self.generation, self.trials, self.lag_at, self.came_up,
+                               self.told_up, self.cooldown, self.tokens_at, self.rested, self.dropped,
+                               self.held_at, self.heard):
                     column.append(0)
                 for shares in (self.scale, self.tokens, self.ill, self.queued, self.lag, self.held):
                     shares.append(0.0)
@@ -649,6 +685,7 @@
             self.begin(now, at, self.started(now, entry))
         self.zone[at] = entry.zone
         self.cell[at] = entry.cell
+        self.kind[at] = entry.kind
         self.phase[at] = entry.phase
         self.weigh(at, entry)
 
@@ -734,7 +771,8 @@
             self.met[oldest] -= 1
             if not self.met[oldest]:
                 del self.met[oldest]
-                self.draws.pop(oldest, None)
+                for reach in self.reaches.values():
+                    reach.draws.pop(oldest, None)
 
     def turned_away(self, now: int, one: Submission) -> bool:
         """Close to the limit of what may be out, submissions are turned away by chance, cheap ones sooner."""
@@ -834,7 +872,8 @@
         order = []
         cold = []
         foreign = self.foreign()
-        for at, draw in zip(self.near, self.draws_of(one.key)):
+        reach = self.reach_of(one.terms.place)
+        for at, draw in zip(reach.near, self.draws_of(one.key, reach)):
             if at in tried or bound is not None and not self.same_group(tariff.group, bound, at):
                 continue
             if self.came_up[at] and self.warmth(now, at) < 1.0:
@@ -855,7 +894,7 @@
                 order[order.index(chosen)] = (0.0, chosen[1])
                 heapify(order)
         order = [] if jam else order
-        turns = [] if tried else [at for at in cold if self.cold_turn(now, at, total)]
+        turns = [] if tried else [at for at in cold if self.cold_turn(now, at, total, reach)]
         fallback = first = -1
         while turns or order:
             at = turns.pop(0) if turns else heappop(order)[1]
@@ -874,18 +913,18 @@
                 fallback = at
         if fallback < 0 and not jam:
             # Guards against all breakers refusing at once: no server's sickness, so the key's order holds.
-            rest = [at for at in cold if self.cold_turn(now, at, total, 1.4)]
+            rest = [at for at in cold if self.cold_turn(now, at, total, reach, 1.4)]
             fallback = rest[0] if rest else first
         return fallback
 
-    def draws_of(self, key: int) -> list[float]:
-        """The key's draw of each ready server, to be held against its weight; the least comes first."""
-        draws = self.draws.get(key)
+    def draws_of(self, key: int, reach: Reach) -> list[float]:
+        """The key's draw of each server in reach, to be held against its weight; the least comes first."""
+        draws = reach.draws.get(key)
         if draws is None:
             seed = mix(key) if key else self.chance.bits() << 20
-            draws = [-math.log((mix(seed ^ self.salt[at]) + 1) / (MASK + 2)) for at in self.near]
+            draws = [-math.log((mix(seed ^ self.salt[at]) + 1) / (MASK + 2)) for at in reach.near]
             if key in self.met:
-                self.draws[key] = draws
+                reach.draws[key] = draws
         return draws
 
     def foreign(self) -> float:
@@ -906,7 +945,7 @@
         age = max(0, now - self.came_up[at])
         return min(1.0, max(0.01, start + (1.0 - start) * age / max(1, self.settings.cold_for)))
 
-    def cold_turn(self, now: int, at: int, total: float, times: float = 1.0) -> bool:
+    def cold_turn(self, now: int, at: int, total: float, reach: Reach, times: float = 1.0) -> bool:
         """Whether it is this submission's turn at a cold server.
 
         Guards a cold server against popular keys and against many sidecars at once, whatever their number and
@@ -914,7 +953,7 @@
         """
         limit = COLD_PART * self.settings.fall_multiple * self.warmth(now, at) * times
         part = self.scale[at] / total
-        fewer = len(self.near) / len(self.ready)  # of the sidecars use it, each for as many others
+        fewer = len(reach.near) / len(reach.ready)  # of the sidecars use it, each for as many others
         if (self.turn + self.salt[at] / MASK) % 1.0 >= limit * part / fewer:
             return False
         if self.quota > 0.0:
--- a/pumicepath/settings.py
+++ b/pumicepath/settings.py
@@ -20,7 +20,7 @@
         me=info.get("me", 0),
         fleet=max(1, info.get("fleetSize", 1)),
         zone=info.get("zone", 0),
-        tariffs=tuple(tariff(entry) for entry in info.get("tariffs", [])),
+        tariffs=tuple(tariff(entry, info) for entry in info.get("tariffs", [])),
         crossing_price=info.get("prices", {}).get("crossZone", 0.0),
         must_ask=info.get("membershipMode") == "on_request",
         ask_every=down(rules.get("askEveryS", DAY)),
@@ -32,13 +32,14 @@
         fall_window=math.ceil(rules.get("overloadForS", 1.0) * 1e6),
         live=info.get("weights") == "live",
         connection_price=info.get("prices", {}).get("connection", 0.0),
+        full_unproven=bool(rules.get("fullUnproven", False)),
         drain_alone=bool(rules.get("drainBindsAlone", False)),
         may_tell=bool(limits.get("mayTell", False)),
         quotas=tuple(float(entry.get("quotaPerS", 0.0)) for entry in info.get("tenants", [])),
     )
 
 
-def tariff(entry: dict[str, Any]) -> Tariff:
+def tariff(entry: dict[str, Any], info: dict[str, Any]) -> Tariff:
     patience = entry.get("patienceS", DAY)
     return Tariff(
         agreed=down(min(patience, entry.get("agreedTimeS", patience))),
@@ -51,9 +52,19 @@
         window=down(entry.get("windowS", 0.0)),
         stream=bool(entry.get("stream", False)),
         name=str(entry.get("name", "")),
+        zones=numbers(entry.get("allowedIn"), info.get("dcs")),
+        kinds=numbers(entry.get("kindsAllowed"), info.get("kinds")),
     )
 
 
+def numbers(places: list[Any] | None, names: list[str] | None) -> tuple[int, ...] | None:
+    """Zones or kinds, each by its number or its name, by their numbers; one that has no name here is none."""
+    if places is None:
+        return None
+    known = {name: at for at, name in enumerate(names or [])}
+    return tuple(sorted(one if isinstance(one, int) else known.get(one, -1) for one in places))
+
+
 NUMBER = (0.0, 1e9)
 TIME = (1e-6, 1e9)
 SHARE = (0.0, 1.0)
@@ -66,7 +77,7 @@
     "rules.askEveryS": NUMBER, "rules.coldFrom": SHARE, "rules.coldS": NUMBER, "rules.fallMultiple": NUMBER,
     "rules.overloadForS": NUMBER, "policyLimits.mostHops": (1, 1 << 31),
     "policyLimits.maxRetryAfterS": NUMBER,
-    "rules.drainBindsAlone": bool,
+    "rules.drainBindsAlone": bool, "rules.fullUnproven": bool,
     "policyLimits.retryAfter": bool, "policyLimits.mayTell": bool, "policyLimits.connIdleS": NUMBER,
     "policyLimits.dialTimeoutS": NUMBER,
 }
@@ -77,7 +88,10 @@
 # Null stands for nothing that these could mean.
 NEVER_NULL = ("agreedTimeS", "patienceS", "policyLimits.mostHops")
 # What a file need not have though the one before it had: optional on the wire.
-OPTIONAL = ("rules.drainBindsAlone", "weights", "prices.connection", "policyLimits.mayTell", "stream")
+OPTIONAL = ("rules.drainBindsAlone", "rules.fullUnproven", "weights", "prices.connection",
+            "policyLimits.mayTell", "stream")
+# Where a tariff may be served, and the names that such places have.
+PLACES = {"allowedIn": "dcs", "kindsAllowed": "kinds"}
 IN_TENANT: dict[str, Any] = {"quotaPerS": NUMBER}
 # What may be set and the platform of real sidecars has no way for, with the values that ask for nothing.
 IDLE_KEYS: dict[str, tuple] = {
@@ -105,6 +119,8 @@
             for key, allowed in keys.items():
                 check_one(f"settings.{part}[{at}].{key}", entry.get(key), allowed,
                           key in NEVER_NULL and key in entry)
+            for key, known in PLACES.items() if part == "tariffs" else ():
+                check_places(f"settings.{part}[{at}].{key}", entry.get(key), known, info.get(known) or [])
             names.append(str(entry.get("name", at)))
         if len(set(names)) < len(names):
             raise ValueError(f"settings.{part}: one name twice")
@@ -145,6 +161,18 @@
         raise ValueError(f"{key}: {value!r} is not {wanted}")
 
 
+def check_places(key: str, places: Any, known: str, names: list[str]) -> None:
+    """One that can't be told would leave its tariff nowhere to go, or anywhere."""
+    if places is None:
+        return
+    if not isinstance(places, list) or not places:
+        raise ValueError(f"{key}: {places!r} is not a list of some {known}")
+    for one in places:
+        number = isinstance(one, int) and not isinstance(one, bool) and one >= 0
+        if one not in names and (not number or names and one >= len(names)):
+            raise ValueError(f"{key}: {one!r} is none of {known}")
+
+
 def without_effect(info: dict[str, Any]) -> list[str]:
     """Keys that are set and do nothing in a real sidecar."""
     return [key for key, nothing in IDLE_KEYS.items() if found(info, key) not in nothing]
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -35,6 +35,7 @@
     connections: int
     known: Any
     zones: tuple[str, ...]
+    kinds: tuple[str, ...]
     tariffs: dict[str, int]
     settings: Settings
     pushed: bool
@@ -120,6 +121,7 @@
         connections=connections,
         known=known,
         zones=zones,
+        kinds=tuple(str(kind) for kind in info.get("kinds", [])),
         tariffs={name: at for at, name in enumerate(names)},
         settings=decode(info),
         pushed=info.get("membershipMode") != "on_request",
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import threading
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
 from time import monotonic, sleep
@@ -52,7 +53,8 @@
     # short time takes the whole core, and none is needed, as all of them soon wait for a socket.
     sys.setswitchinterval(SWITCH)
     log = Log(config.name)
-    roster = Roster(config.zones, clock.since_unix_ms)
+    roster = Roster(config.zones, clock.since_unix_ms, config.kinds)
+    config = localised(config, roster)
     before = reach(config.listen) if config.admin else None
     known = first_list(roster, config, before)
     watch = Watch(roster, f"{config.discovery.host}:{config.discovery.port}", known.version,
@@ -190,11 +192,21 @@
 
 
 def localised(config: Config, roster: Roster) -> Config:
-    """With its zone by the number that the roster has for it."""
-    if not config.zones:
-        return config
-    zone = roster.zone(config.zones[config.settings.zone])
-    return replace(config, settings=replace(config.settings, zone=zone))
+    """With zones and kinds by the numbers that the roster has for them."""
+    settings, zone = config.settings, config.settings.zone
+    if config.zones:
+        zone = roster.zone(config.zones[zone])
+    tariffs = tuple(replace(one, zones=numbered(one.zones, config.zones, roster.zone),
+                            kinds=numbered(one.kinds, config.kinds, roster.kind)) for one in settings.tariffs)
+    return replace(config, settings=replace(settings, zone=zone, tariffs=tariffs))
+
+
+def numbered(places: tuple[int, ...] | None, names: tuple[str, ...],
+             number: Callable[[str], int]) -> tuple[int, ...] | None:
+    """Places that the file has by their order; one without a name there is none of the list's."""
+    if places is None:
+        return None
+    return tuple(sorted(number(names[at]) if 0 <= at < len(names) else -2 for at in places))
 
 
 class Watchman:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -58,13 +58,14 @@
     servers, used = [entry(at) for at in range(1, 61)], [0] * 62
     for me in range(300):
         balancer = Bench(settings(me=me, fleet=300, connection_price=0.03), servers).balancer
-        near, at = list(balancer.near), balancer.near[0]
+        reach = balancer.reach_of((None, None))
+        near, at = list(reach.near), reach.near[0]
         for each in near:
             used[balancer.ids[each]] += 1
         balancer.trip(0, at, "test")  # stood in for by another, and back after a trial
-        assert len(near) == 5 and set(near) < set(balancer.near) and len(balancer.near) == 6
+        assert len(near) == 5 and set(near) < set(reach.near) and len(reach.near) == 6
         balancer.answered(SECOND, balancer.terms[0], balancer.admit(20 * SECOND, balancer.terms[0], at), 1000)
-        assert balancer.near == near
+        assert reach.near == near
     assert max(used) < 45 and min(used[1:61]) > 8
 
 
