--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -38,6 +38,8 @@
 ILL_ABOVE = 2.0             # so many times the middle server's on top of that
 UNLIKELY = 0.00002          # chance of failures in a row that are still the middle server's share by accident
 COLD_PART = 0.55             # of what the rules let all sidecars together send to a cold server
+ANSWERED_SLACK = 1.1        # times what is answered here that counts of what is taken, for cold servers,
+SOME_TAKEN = 10             # once so many are known
 GOLDEN = 0.6180339887498949  # its multiples fill the unit interval evenly, however many are taken
 SILVER = 0.41421356237309515  # so do these; no sum of multiples of both comes twice
 FULL_PART = 0.05            # share of hops that find servers full above which less is taken on, and
@@ -424,6 +426,8 @@
         self.tardy = 0.0
         self.full = 0.0
         self.full_at = 0
+        self.answers = 0.0  # of late, since when they are counted, and when that was last done
+        self.began = self.answers_at = -1
         # Asking for the list.
         self.following = not settings.must_ask
         self.asking = False
@@ -750,7 +754,9 @@
             self.meet(key)
         self.retries_left = min(10.0, self.retries_left + 0.2)
         self.turn = (self.turn + GOLDEN) % 1.0
-        if self.taken:
+        if not self.taken:
+            self.began = now
+        else:
             self.gap += max(0.1, 1.0 / self.taken) * (now - self.taken_at - self.gap)
         self.taken += 1
         self.taken_at = now
@@ -954,7 +960,7 @@
         limit = COLD_PART * self.settings.fall_multiple * self.warmth(now, at) * times
         part = self.scale[at] / total
         fewer = len(reach.near) / len(reach.ready)  # of the sidecars use it, each for as many others
-        if (self.turn + self.salt[at] / MASK) % 1.0 >= limit * part / fewer:
+        if (self.turn + self.salt[at] / MASK) % 1.0 >= limit * part / fewer * self.earnest(now):
             return False
         if self.quota > 0.0:
             # What tenants may ask for tells what the fleet can do: guards a cold server against what clients
@@ -968,6 +974,23 @@
         usual = sum(terms.calm for terms in self.terms) / len(self.terms)
         return len(self.sent_lately(now, at)) < max(1, int(limit * self.settings.fall_window / usual))
 
+    def earnest(self, now: int) -> float:
+        """The part of what is taken now that the fleet could serve, told by what it has answered here lately.
+
+        Guards a cold server against what clients repeat while most is turned away or late: that multiplies
+        what all take, of which it gets its part.  Servers are held able to do half a core's work at least.
+        Where tenants have quotas these tell it, and tokens bind.
+        """
+        memory = max(1, self.settings.cold_for, self.settings.fall_window)
+        self.answers *= math.exp((self.answers_at - now) / memory)
+        self.answers_at = now
+        if self.taken < SOME_TAKEN or self.quota > 0.0:
+            return 1.0
+        rate = self.answers / memory / (1.0 - math.exp((self.began - now - 1) / memory))
+        usual = sum(terms.calm for terms in self.terms) / len(self.terms)
+        least = len(self.ready) / (2 * usual * self.settings.fleet)
+        return min(1.0, self.gap * max(ANSWERED_SLACK * rate, least))
+
     def sent_lately(self, now: int, at: int) -> deque[int]:
         """When a cold server was sent something, within the rules' window."""
         sent = self.sent_cold[at]
@@ -1095,6 +1118,8 @@
             self.verdict(now, hop, outcome in (Outcome.ERROR, Outcome.RESET), "broken stream")
         elif outcome == Outcome.OK:
             self.heard[hop.server] = now
+            self.earnest(now)
+            self.answers += 1.0
             self.answered(now, terms, hop, spent)
         elif outcome == Outcome.TIMEOUT and spent >= terms.agreed:
             self.overdue(now, terms, hop)
