Copies of deduplicated work go to its group once late answers have proved lost

Ruled out: queues (p99 of what came 0.7 s on the same servers), breakers (few opened, rightly).

Change: where second copies are allowed, a hop of deduplicated work out for three usual times and a quarter of its agreed time is doubted; the share of doubted hops whose answers never came is kept, and from 0.3 a copy goes to the group, by the budget of repeats, while the limit leaves room. Queues tell themselves from losses by answering late. On sockets off and named: a client's thread carries one hop at a time.

--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -29,6 +29,9 @@
 BROKEN_OFF = 0.25           # part of the agreed time within which an answer that has begun must be whole
 STALL = 1.0                 # usual times from which a hop still out marks its server as stalled, and
 STALL_PART = 0.1            # the part of its agreed time that it must be out too
+DOUBT = 3.0                 # usual times from which an answer may be lost, and
+DOUBT_PART = 0.25           # the part of its agreed time that it must have taken too
+LOST = 0.3                  # the part of them that never came from which copies go out
 TARDY = 0.7                 # part of the agreed time from which a hop is tardy
 RETRY_PART = 0.2            # of its value that counts of a submission that its client sends again
 JAM = 0.4                   # share of tardy or queued hops that cuts what may be out
@@ -143,21 +146,16 @@
     """A hop; `server` means something while it is out, its zone and cell stay those that it was sent to."""
 
     __slots__ = ("at", "due", "server", "zone", "cell", "generation", "trial", "level", "out", "may_have_run",
-                 "judged", "begun", "rest")
+                 "judged", "begun", "rest", "doubted")
 
     def __init__(self, at: int, due: int, server: int, zone: int, cell: int, generation: int, trial: bool,
                  level: float) -> None:
-        self.at = at
-        self.due = due
-        self.server = server
-        self.zone = zone
-        self.cell = cell
+        self.at, self.due = at, due
+        self.server, self.zone, self.cell = server, zone, cell
         self.generation = generation
         self.trial = trial
-        self.out = True
-        self.may_have_run = True
-        self.judged = False
-        self.begun = False
+        self.out = self.may_have_run = True
+        self.judged = self.begun = self.doubted = False
         self.level = level
         self.rest = 0
 
@@ -168,8 +166,7 @@
     __slots__ = ("ready", "near", "draws")
 
     def __init__(self, ready: list[int], near: list[int]) -> None:
-        self.ready = ready
-        self.near = near
+        self.ready, self.near = ready, near
         self.draws: dict[int, list[float]] = {}
 
 
@@ -263,13 +260,15 @@
 
     def woke(self, now: int) -> None:
         """A hop has been out for the agreed time: hold that against its server, but let it go on."""
-        balancer = self.balancer
-        agreed = self.terms.agreed
+        balancer, agreed = self.balancer, self.terms.agreed
         for number, hop in enumerate(self.hops):
             if not hop.out or hop.judged:
                 continue
             if not hop.begun and now - hop.at >= agreed:
                 balancer.overdue(now, self.terms, hop)
+            elif not hop.begun and not hop.doubted and now - hop.at >= self.doubted_after():
+                hop.doubted = True
+                self.copy(now)
             elif hop.begun and now < hop.due < self.until:
                 balancer.outlet.wake(hop.due, self)
             elif hop.begun and not self.terms.tariff.stream:
@@ -278,6 +277,20 @@
                 if not self.done and self.may_repeat(now):
                     balancer.outlet.cancel(self.name, number)
 
+    def doubted_after(self) -> int:
+        """How long a hop is out until its answer may be lost, where the servers of a group drop a copy."""
+        if not self.balancer.settings.copies or self.terms.tariff.effect != Effect.DEDUPLICATED:
+            return self.terms.agreed
+        return int(max(DOUBT * self.terms.usual, DOUBT_PART * self.terms.agreed))
+
+    def copy(self, now: int) -> None:
+        """Guards against answers lost on their way: the work was done, and costs its group nothing again."""
+        balancer = self.balancer
+        if (self.out == 1 and not self.done and not self.spent and now < self.until and balancer.lost > LOST
+                and balancer.level < balancer.room and balancer.may_retry(self)
+                and (server := balancer.pick(now, self)) >= 0):
+            self.send(now, server)
+
     def may_repeat(self, now: int) -> bool:
         try:
             self.bound(now)
@@ -336,6 +349,8 @@
             self.hops[-1].at = self.hops[-1].due = self.until
         elif now + agreed < self.until:
             balancer.outlet.wake(now + agreed, self)
+        if not self.coming and (doubted := self.doubted_after()) < agreed:
+            balancer.outlet.wake(now + doubted, self)
 
 
 class Settling:
@@ -347,8 +362,7 @@
 
     def woke(self, now: int) -> None:
         if self.balancer.settling is self:
-            self.balancer.settling = None
-            self.balancer.settings = self.settings
+            self.balancer.settling, self.balancer.settings = None, self.settings
             self.balancer.learn(self.settings)
 
 
@@ -399,6 +413,7 @@
         self.rested: list[int] = []  # since when the connections to a server rest, 0 if there are none
         self.rests = Rests()
         self.told_at = self.ignored = 0
+        self.lost = 0.0  # the part of doubted hops whose answers never came
         self.lag: list[float] = []
         self.queued: list[float] = []
         self.late: list[bool] = []
@@ -412,22 +427,19 @@
         # same points that others do, some submissions later, and so all of them to one server in one window.
         self.turn = settings.me * SILVER % 1.0
         self.gap = 0.0
-        self.taken = 0
-        self.taken_at = 0
+        self.taken = self.taken_at = 0
         # The keys of the last submissions, and how often each is among them.
         self.recent: deque[int] = deque()
         self.met: dict[int, int] = {}
         # How much may be out, how much could after the last cut, when that was, and the share of tardy hops.
         self.level = 0.0
         self.level_at = 0
-        self.room = math.inf
-        self.calm_room = math.inf
+        self.room = self.calm_room = math.inf
         self.shrunk = 0
         self.tardy = 0.0
         self.full = 0.0
         self.full_at = 0
-        self.answers = 0.0  # of late, since when they are counted, and when that was last done
-        self.began = self.answers_at = -1
+        self.answers, self.began, self.answers_at = 0.0, -1, -1  # of late, since when, and when last counted
         # Asking for the list.
         self.following = not settings.must_ask
         self.asking = False
@@ -1114,6 +1126,8 @@
         self.forget(hop.server)
         self.level_now(now)
         self.all_in_flight -= 1
+        if hop.doubted and outcome in (Outcome.OK, Outcome.TIMEOUT):
+            self.lost += min(0.2, max(0.06, self.gap / MEMORY)) * ((outcome == Outcome.TIMEOUT) - self.lost)
         if hop.begun:
             self.verdict(now, hop, outcome in (Outcome.ERROR, Outcome.RESET), "broken stream")
         elif outcome == Outcome.OK:
--- a/pumicepath/settings.py
+++ b/pumicepath/settings.py
@@ -32,6 +32,7 @@
         fall_window=math.ceil(rules.get("overloadForS", 1.0) * 1e6),
         live=info.get("weights") == "live",
         connection_price=info.get("prices", {}).get("connection", 0.0),
+        copies=bool(limits.get("secondCopies", False)),
         full_unproven=bool(rules.get("fullUnproven", False)),
         drain_alone=bool(rules.get("drainBindsAlone", False)),
         may_tell=bool(limits.get("mayTell", False)),
@@ -78,7 +79,8 @@
     "rules.overloadForS": NUMBER, "policyLimits.mostHops": (1, 1 << 31),
     "policyLimits.maxRetryAfterS": NUMBER,
     "rules.drainBindsAlone": bool, "rules.fullUnproven": bool,
-    "policyLimits.retryAfter": bool, "policyLimits.mayTell": bool, "policyLimits.connIdleS": NUMBER,
+    "policyLimits.retryAfter": bool, "policyLimits.mayTell": bool, "policyLimits.secondCopies": bool,
+    "policyLimits.connIdleS": NUMBER,
     "policyLimits.dialTimeoutS": NUMBER,
 }
 IN_TARIFF: dict[str, Any] = {
@@ -89,14 +91,14 @@
 NEVER_NULL = ("agreedTimeS", "patienceS", "policyLimits.mostHops")
 # What a file need not have though the one before it had: optional on the wire.
 OPTIONAL = ("rules.drainBindsAlone", "rules.fullUnproven", "weights", "prices.connection",
-            "policyLimits.mayTell", "stream")
+            "policyLimits.mayTell", "policyLimits.secondCopies", "stream")
 # Where a tariff may be served, and the names that such places have.
 PLACES = {"allowedIn": "dcs", "kindsAllowed": "kinds"}
 IN_TENANT: dict[str, Any] = {"quotaPerS": NUMBER}
 # What may be set and the platform of real sidecars has no way for, with the values that ask for nothing.
 IDLE_KEYS: dict[str, tuple] = {
-    "policyLimits.mayTell": (None, False), "policyLimits.streamsPerConn": (None, 1),
-    "report.how": (None, "off"),
+    "policyLimits.mayTell": (None, False), "policyLimits.secondCopies": (None, False),
+    "policyLimits.streamsPerConn": (None, 1), "report.how": (None, "off"),
 }
 
 
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -4,7 +4,7 @@
 
 import json
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -123,7 +123,7 @@
         zones=zones,
         kinds=tuple(str(kind) for kind in info.get("kinds", [])),
         tariffs={name: at for at, name in enumerate(names)},
-        settings=decode(info),
+        settings=replace(decode(info), copies=False),  # a client's thread carries one hop at a time
         pushed=info.get("membershipMode") != "on_request",
         idle=int(allowed.get("connIdleS", 30.0) * 1e6),
         dial=int(allowed.get("dialTimeoutS", 1.0) * 1e6),
