Marked repeats get no turn at a cold server; all that is taken counts again elsewhere

To blame: `earnest` held cold servers back where little was answered because most servers are out by hand, and what is cold is the only way out.

Change: what its client marks as sent again gets no turn at a cold server.

Also a test of real processes that was open: a holder of trials cut off from servers but not from voters keeps no server from the others.

--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -105,6 +105,7 @@
     fall_window: int
     live: bool = False                  # whether a listed scale falls with what the server holds
     connection_price: float = 0.0       # for each open connection of a server, over 100
+    marked: bool = False                # whether clients mark what they send again
     copies: bool = False                # whether a second copy may go out beside the first
     full_unproven: bool = False         # whether a server that says it is full may have begun the work
     drain_alone: bool = False           # whether only draining binds, and not being gone from the list
--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -912,6 +912,8 @@
                 order[order.index(chosen)] = (0.0, chosen[1])
                 heapify(order)
         order = [] if jam else order
+        if one.retry:
+            cold = []  # guards cold servers against what clients repeat: it stands for nothing they could do
         turns = [] if tried else [at for at in cold if self.cold_turn(now, at, total, reach)]
         fallback = first = -1
         while turns or order:
@@ -989,19 +991,17 @@
     def earnest(self, now: int) -> float:
         """The part of what is taken now that the fleet could serve, told by what it has answered here lately.
 
-        Guards a cold server against what clients repeat while most is turned away or late: that multiplies
-        what all take, of which it gets its part.  Servers are held able to do half a core's work at least.
-        Where tenants have quotas these tell it, and tokens bind.
+        Guards a cold server against what clients repeat, which multiplies what all take, where no quota tells
+        what they may ask for and no mark what they repeat.  Servers can do half a core's work at least.
         """
         memory = max(1, self.settings.cold_for, self.settings.fall_window)
         self.answers *= math.exp((self.answers_at - now) / memory)
         self.answers_at = now
-        if self.taken < SOME_TAKEN or self.quota > 0.0:
+        if self.taken < SOME_TAKEN or self.quota > 0.0 or self.settings.marked:
             return 1.0
         rate = self.answers / memory / (1.0 - math.exp((self.began - now - 1) / memory))
-        usual = sum(terms.calm for terms in self.terms) / len(self.terms)
-        least = len(self.ready) / (2 * usual * self.settings.fleet)
-        return min(1.0, self.gap * max(ANSWERED_SLACK * rate, least))
+        usual = sum(terms.calm for terms in self.terms) / len(self.terms) * self.settings.fleet
+        return min(1.0, self.gap * max(ANSWERED_SLACK * rate, len(self.ready) / (2 * usual)))
 
     def sent_lately(self, now: int, at: int) -> deque[int]:
         """When a cold server was sent something, within the rules' window."""
--- a/pumicepath/settings.py
+++ b/pumicepath/settings.py
@@ -32,6 +32,7 @@
         fall_window=math.ceil(rules.get("overloadForS", 1.0) * 1e6),
         live=info.get("weights") == "live",
         connection_price=info.get("prices", {}).get("connection", 0.0),
+        marked=bool((info.get("clientHabits") or {}).get("marksRetry", False)),
         copies=bool(limits.get("secondCopies", False)),
         full_unproven=bool(rules.get("fullUnproven", False)),
         drain_alone=bool(rules.get("drainBindsAlone", False)),
@@ -80,7 +81,7 @@
     "policyLimits.maxRetryAfterS": NUMBER,
     "rules.drainBindsAlone": bool, "rules.fullUnproven": bool,
     "policyLimits.retryAfter": bool, "policyLimits.mayTell": bool, "policyLimits.secondCopies": bool,
-    "policyLimits.connIdleS": NUMBER,
+    "clientHabits.marksRetry": bool, "policyLimits.connIdleS": NUMBER,
     "policyLimits.dialTimeoutS": NUMBER,
 }
 IN_TARIFF: dict[str, Any] = {
@@ -91,7 +92,7 @@
 NEVER_NULL = ("agreedTimeS", "patienceS", "policyLimits.mostHops")
 # What a file need not have though the one before it had: optional on the wire.
 OPTIONAL = ("rules.drainBindsAlone", "rules.fullUnproven", "weights", "prices.connection",
-            "policyLimits.mayTell", "policyLimits.secondCopies", "stream")
+            "policyLimits.mayTell", "policyLimits.secondCopies", "clientHabits.marksRetry", "stream")
 # Where a tariff may be served, and the names that such places have.
 PLACES = {"allowedIn": "dcs", "kindsAllowed": "kinds"}
 IN_TENANT: dict[str, Any] = {"quotaPerS": NUMBER}
@@ -104,7 +105,7 @@
 
 def check(info: dict[str, Any]) -> None:
     """Raises ValueError that names the first key whose value can't be meant."""
-    for part in ("prices", "rules", "policyLimits"):
+    for part in ("prices", "rules", "policyLimits", "clientHabits"):
         if not isinstance(info.get(part, {}), dict):
             raise ValueError(f"settings.{part} is no object")
     for key, allowed in KEYS.items():
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -89,8 +89,9 @@
         self.now = until
         return self
 
-    def take(self, name: int, key: int = 1, tariff: int = 0, patience: float = 2.0) -> Submission:
-        return self.balancer.take(self.now, name, tariff, key, False, self.now + int(patience * SECOND))
+    def take(self, name: int, key: int = 1, tariff: int = 0, patience: float = 2.0,
+             retry: bool = False) -> Submission:
+        return self.balancer.take(self.now, name, tariff, key, retry, self.now + int(patience * SECOND))
 
     def end(self, one: Submission, outcome: Outcome, hop: int = -1) -> None:
         """One hop, the last unless named, ends; only a success finishes the submission."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -270,17 +270,18 @@
     assert 40 < sum(hits.values()) < 90 and max(hits.values()) <= 13, hits
 
 
-def test_what_clients_repeat_adds_nothing_to_the_turns_at_a_cold_server() -> None:
+@pytest.mark.parametrize("marked", [True, False])
+def test_what_clients_repeat_adds_nothing_to_the_turns_at_a_cold_server(marked: bool) -> None:
     """Found by a hunt: in a storm of repeats one got 4.7 times what it could do, where 3 push it over."""
     storm = []
     for me in range(40):
-        bench = Bench(settings(me=me, fleet=40), [entry(server) for server in range(11, 20)])
+        bench = Bench(settings(me=me, fleet=40, marked=marked), [entry(server) for server in range(11, 20)])
         for name in range(40):
             bench.end(bench.at(0.5 * name).take(name, name + 1), Outcome.OK)
         bench.balancer.listed(bench.now, Listing.CHANGES, [entry(10, came_up=bench.now)])
         bench.sent.clear()
         for name in range(60):  # five times as many, none of which is answered
-            one = bench.at(20 + 0.1 * name).take(100 + name, name + 1)
+            one = bench.at(20 + 0.1 * name).take(100 + name, name + 1, retry=marked and name % 5 > 0)
             one.left(bench.now)
             bench.end(one, Outcome.CANCELLED)
         storm.append(bench.sent.count(10))
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -382,6 +382,37 @@
     assert [world.judge.broken[rule] for rule in NEVER] == [0] * len(NEVER), world.judge.first
 
 
+def test_a_holder_cut_off_from_servers_but_not_from_voters_keeps_none_from_the_others(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It renews as well as any, and its trials fail by its own fault; for the others the servers serve."""
+    came, cut_off = Server.came, set[int]()
+
+    def failing(self: Server, job: Job) -> bool:
+        self.failing = 1.0 if self.number < 3 and (not cut_off or job.sender in cut_off) else 0.0
+        return came(self, job)
+    monkeypatch.setattr(Server, "came", failing)
+    sick = {"s-0", "s-1", "s-2"}
+
+    async def work(stage: Stage) -> None:
+        await stage.right("all have begun")
+        async with Holding(stage) as holding:
+            for name in sorted(sick):
+                await holding.holder(f"trial hall-0 {name}", 0)
+            holder = next(each for each in stage.sidecars
+                          if each.name == holding.latest["trial hall-0 s-0"][1])
+            cut_off.add(holder.number)
+            began = time.monotonic()
+            await stage.until(lambda _: not any(each.refused & sick for each in stage.sidecars
+                                                if each is not holder), "in use by all others")
+            assert time.monotonic() - began < OWN_EYES / SECOND, "not only once nobody is listened to any more"
+            assert holder.refused & sick, "its own eyes see them fail"
+            cut_off.add(-1)
+            cut_off.discard(holder.number)
+            await stage.until(lambda _: not holder.refused & sick, "the way is back")
+        assert not holding.broken(), holding.broken()[:3]
+    played(tmp_path, work, PLAN)
+
+
 def test_nobody_gains_a_duty_while_voters_that_all_restarted_may_have_granted_it(tmp_path: Path) -> None:
     """By the numbers of what is held, which tell when it was claimed; all clocks are one machine's."""
     lease_s = 3.0
