--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -404,7 +404,7 @@
             began = time.monotonic()
             await stage.until(lambda _: not any(each.refused & sick for each in stage.sidecars
                                                 if each is not holder), "in use by all others")
-            assert time.monotonic() - began < OWN_EYES / SECOND, "not only once nobody is listened to any more"
+            assert time.monotonic() - began < OWN_EYES / SECOND, "not only once nobody is heeded any more"
             assert holder.refused & sick, "its own eyes see them fail"
             cut_off.add(-1)
             cut_off.discard(holder.number)
