A list of kinds or zones that is no list is refused by its name

Tried as a new user: "kinds": 5 ended the check with an error of Python's that named no key. It is 'settings.kinds is no list' now, exit 2; the test's row fails on the old code.

--- a/pumicepath/settings.py
+++ b/pumicepath/settings.py
@@ -112,6 +112,9 @@
         part, _, name = key.rpartition(".")
         check_one("settings." + key, found(info, key), allowed,
                   key in NEVER_NULL and name in (info.get(part) or {}))
+    for places in PLACES.values():
+        if not isinstance(info.get(places) or [], list):
+            raise ValueError(f"settings.{places} is no list")
     for part, keys in (("tariffs", IN_TARIFF), ("tenants", IN_TENANT)):
         names = []
         if not isinstance(info.get(part) or [], list):
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -126,6 +126,7 @@
     ({"dcs": ["a"], "tariffs": [{"allowedIn": []}]}, "settings.tariffs[0].allowedIn: [] is not a list"),
     ({"dcs": ["a"], "tariffs": [{"allowedIn": [1]}]}, "settings.tariffs[0].allowedIn: 1 is none of dcs"),
     ({"tariffs": [{"kindsAllowed": ["x"]}]}, "settings.tariffs[0].kindsAllowed: 'x' is none of kinds"),
+    ({"kinds": 5}, "settings.kinds is no list"),
     ({"rules": {"fullUnproven": 1}}, "settings.rules.fullUnproven: 1 is not true or false"),
     ({"tariffs": [{"patienceS": 0}]}, "settings.tariffs[0].patienceS: 0 is not from"),
     ({"tariffs": [{"patienceS": None}]}, "settings.tariffs[0].patienceS: None is not from"),
