--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -994,14 +994,14 @@
         Guards a cold server against what clients repeat, which multiplies what all take, where no quota tells
         what they may ask for and no mark what they repeat.  Servers can do half a core's work at least.
         """
-        memory = max(1, self.settings.cold_for, self.settings.fall_window)
-        self.answers *= math.exp((self.answers_at - now) / memory)
-        self.answers_at = now
-        if self.taken < SOME_TAKEN or self.quota > 0.0 or self.settings.marked:
+        if self.quota > 0.0 or self.settings.marked:
             return 1.0
+        memory = max(1, self.settings.cold_for, self.settings.fall_window)
+        self.answers, self.answers_at = self.answers * math.exp((self.answers_at - now) / memory), now
         rate = self.answers / memory / (1.0 - math.exp((self.began - now - 1) / memory))
         usual = sum(terms.calm for terms in self.terms) / len(self.terms) * self.settings.fleet
-        return min(1.0, self.gap * max(ANSWERED_SLACK * rate, len(self.ready) / (2 * usual)))
+        least = len(self.ready) / (2 * usual)
+        return 1.0 if self.taken < SOME_TAKEN else min(1.0, self.gap * max(ANSWERED_SLACK * rate, least))
 
     def sent_lately(self, now: int, at: int) -> deque[int]:
         """When a cold server was sent something, within the rules' window."""
