--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -387,7 +387,8 @@
     def send(self, submission: int, server: int, timeout: int) -> None:
         exchange = self.exchanges[submission]
         now = clock.now()
-        hop = Hop(exchange, len(exchange.hops), server, now)
+        ends = min(exchange.until, now + timeout) if timeout > 0 else exchange.until
+        hop = Hop(exchange, len(exchange.hops), server, now, ends)
         exchange.hops.append(hop)
         hop.link = self.pool.link_for(now, hop)
         exchange.pending.append(hop)
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -131,13 +131,16 @@
 
 
 class Hop:
-    __slots__ = ("exchange", "number", "server", "at", "came", "link", "ended", "cancelled")
+    """`ends` is when it is over at the latest: its time-out or the deadline, whichever comes first."""
 
-    def __init__(self, exchange: Exchange, number: int, server: int, at: int) -> None:
+    __slots__ = ("exchange", "number", "server", "at", "ends", "came", "link", "ended", "cancelled")
+
+    def __init__(self, exchange: Exchange, number: int, server: int, at: int, ends: int) -> None:
         self.exchange = exchange
         self.number = number
         self.server = server
         self.at = at
+        self.ends = ends
         self.came = 0               # when the last bytes of its answer reached this machine
         self.link: Carrier
         self.ended = False
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -88,7 +88,7 @@
             if self.sock is not None and not self.quiet():
                 self.renew()
             if self.sock is None:
-                self.connect(self.origin.where)
+                self.connect(self.origin.where, hop)
             if not hop.exchange.begins(clock.now(), hop):
                 return Outcome.MOOT, None, not hop.ended  # the connection has carried nothing
             self.write(hop)
@@ -118,9 +118,17 @@
         self.parser = ResponseParser(MOST_ANSWER)
         self.idle_since = self.got = 0
 
-    def connect(self, where: Address) -> None:
+    def connect(self, where: Address, hop: Hop) -> None:
+        """Dial for no longer than the hop may last.
+
+        Guards what the client sends next against a thread that still dials for what has been answered: not
+        every platform wakes a dial that is shut by another thread.
+        """
+        left = min(self.pool.dial, hop.ends - clock.now())
+        if left <= 0:
+            raise TimeoutError
         self.sock = sock = socket.socket(socket.AF_INET6 if ":" in where.host else socket.AF_INET)
-        sock.settimeout(self.pool.dial / 1e6)
+        sock.settimeout(left / 1e6)
         sock.connect(where)
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -178,6 +178,32 @@
     far.close()
 
 
+@pytest.mark.parametrize("ends", ["deadline", "time-out"])
+def test_a_late_dial_holds_the_next_request_up_no_longer_than_its_own_may_last(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, ends: str) -> None:
+    rig = Rig(tmp_path, policyLimits={"mostHops": 1, "connIdleS": 30.0, "dialTimeoutS": 15.0})
+    late, full = full_queue(rig.around)
+    update = Roster(["a"], lambda born: 0).read(rig.around.listing(2, True, "active"))
+    rig.dispatcher.listed(Listing.FULL, update)
+    # As on a platform where a dial that another thread shuts goes on.
+    monkeypatch.setattr(Link, "shut", lambda link: None)
+    if ends == "time-out":
+        real = rig.dispatcher.send
+        monkeypatch.setattr(rig.dispatcher, "send", lambda name, server, timeout: real(name, server, 200_000))
+    far, client = rig.connect()
+    far.sendall(rig.asked("waits", expires=400 if ends == "deadline" else 8000))
+    start(client.run)
+    began = clock.now()
+    assert status(far) in (502, 503)
+    far.sendall(rig.asked("next", expires=200))
+    assert status(far) in (502, 503)
+    # The dial alone would have lasted 15 s.
+    assert clock.now() - began < 8_000_000
+    far.close()
+    late.close()
+    assert len(full) == 2
+
+
 def test_the_deadline_and_an_answer_that_cross_bring_one_final_answer_in_either_order(tmp_path: Path) -> None:
     lines = []
 
@@ -191,7 +217,7 @@
         hop = exchange.pending.popleft()
         link = hop.link
         assert isinstance(link, Link) and link.origin is not None
-        link.connect(link.origin.where)
+        link.connect(link.origin.where, hop)
         parser = ResponseParser()
         parser.feed(answer(200, "in hand"))
         response = parser.next()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -383,7 +383,7 @@
 def test_idle_connection_that_is_closed_or_brings_bytes_unasked_is_not_used(tmp_path: Path) -> None:
     pool = Pool(Owner(), config.config(Deployment(tmp_path, 0).told), None)
     pool.listed(Update(1, True, [entry(10)], [Address("127.0.0.1", 1)]))
-    hop = Hop(Exchange(None, "t", None, 0, None), 0, 10, 0)
+    hop = Hop(Exchange(None, "t", None, 0, None), 0, 10, 0, 0)
     used = []
     for trouble in (b"", b"HTTP/1.1 200 OK\r\n\r\n", None, "gone"):
         link = pool.link_for(0, hop)
