--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,203 @@
+"""Slopes for docs/CAPACITY.md: measured here, kept in docs/capacity.json, written into the page's tables.
+
+    .venv/bin/python benchmarks/capacity.py                    # all of it, and then the page: half an hour
+    .venv/bin/python benchmarks/capacity.py --only hearing --only telling --repeats 5
+    .venv/bin/python benchmarks/capacity.py --write-page       # the tables from the file, nothing measured
+
+Each group measures its series at four sizes or more in one run; what it has measured takes the place of the
+same series in the file, and the rest stays.  Times are CPU time, as the machine may be shared.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import platform
+import re
+import subprocess
+import sys
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+import numpy
+import orjson
+
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+
+from trees import ROOT  # noqa: E402
+
+sys.path.insert(0, str(ROOT))
+
+import hearing  # noqa: E402
+import peers  # noqa: E402
+import telling  # noqa: E402
+
+from pumicepath.compiled import FORM  # noqa: E402
+from pumicepath.lab.capacity import page, slopes  # noqa: E402
+
+FILE, PAGE = ROOT / "docs" / "capacity.json", ROOT / "docs" / "CAPACITY.md"
+LISTS = (12, 100, 1000, 5000, 20_000)
+Found = dict[str, dict[float, float]]
+
+
+class Known(NamedTuple):
+    what: str
+    unit: str
+    by: str
+    compiled: bool = True       # whether what it times has a compiled form
+
+
+SERVERS, FOLLOWERS, CHANGES, PEERS = "servers in the list", "followers", "changes a second", "sidecars"
+SERIES = {
+    "first_us": Known("a sidecar reads its first whole list", "us", SERVERS),
+    "whole_us": Known("a sidecar reads a whole list again", "us", SERVERS),
+    "change_us": Known("a sidecar reads one change", "us", SERVERS),
+    "list_bytes": Known("a whole list", "bytes", SERVERS, False),
+    "met_us": Known("one call's decision, its key met before", "us", SERVERS),
+    "new_us": Known("one call's decision, its key new", "us", SERVERS),
+    "told_us": Known("the source answers one watch with a change", "us", FOLLOWERS, False),
+    "told_bytes": Known("that answer", "bytes", FOLLOWERS, False),
+    "renewed_us": Known("the source ends a watch with nothing new, and takes the next", "us", FOLLOWERS,
+                        False),
+    "last_ms": Known("wall time from one change until the last follower has it", "ms", FOLLOWERS, False),
+    "sent_us": Known("the source sends one whole list to one of 20", "us", SERVERS, False),
+    "sent_many_us": Known("the source sends one whole list of 1,000 servers", "us", FOLLOWERS, False),
+    "rest_mb": Known("memory of a `serve` at rest", "MB", SERVERS),
+    "rest_cpu_ms": Known("CPU of a `serve` without calls, 12 servers", "ms a second", CHANGES),
+    "rest_bytes": Known("bytes from discovery to a `serve`, 12 servers", "bytes a second", CHANGES),
+    "join_kb": Known("sent by each until its views are right, all begin at once", "kB", PEERS, False),
+    "join_s": Known("until all views are right, all begin at once", "s", PEERS, False),
+    "restart_s": Known("until all views are right, seven in ten restarted", "s", PEERS, False),
+    "peer_messages": Known("messages a second of membership at rest", "a second", PEERS, False),
+    "peer_bytes": Known("bytes a second of membership at rest", "bytes a second", PEERS, False),
+    "peer_cpu_us": Known("CPU of membership at rest", "us a second", PEERS, False),
+}
+
+
+def of_hearing() -> Found:
+    found: Found = {}
+    for servers in LISTS:
+        for name, value in hearing.heard(servers).items():
+            if name in SERIES:
+                found.setdefault(name, {})[servers] = value
+    return found
+
+
+def of_deciding() -> Found:
+    return {name: {servers: hearing.decided(servers, new) for servers in LISTS}
+            for name, new in (("met_us", False), ("new_us", True))}
+
+
+def of_telling() -> Found:
+    found: Found = {}
+    for count in (50, 200, 500, 1000, 2000):
+        told = telling.told(count)
+        for name, value in (("told_us", told["told_us"]), ("told_bytes", told["told_bytes"]),
+                            ("last_ms", told["last_s"] * 1000), ("renewed_us", telling.renewed(count))):
+            found.setdefault(name, {})[count] = value
+    found["sent_many_us"] = {count: telling.wholes(1000, count)["whole_us"] 
+                             for count in (20, 100, 500, 1000)}
+    found["sent_us"] = {servers: telling.wholes(servers)["whole_us"] for servers in LISTS}
+    return found
+
+
+def of_rest() -> Found:
+    found: Found = {"rest_mb": {servers: hearing.rested(servers, [0], 1.0)[0]["mb"]
+                                for servers in (12, 1000, 5000, 20_000)}}
+    rates = (1, 2, 5, 10, 20)
+    for rate, one in zip(rates, hearing.rested(12, rates, 10.0)):
+        found.setdefault("rest_cpu_ms", {})[rate] = one["cpu_ms"]
+        found.setdefault("rest_bytes", {})[rate] = one["bytes"]
+    return found
+
+
+def of_members(seed: int) -> Found:
+    sizes = (10, 30, 100, 300, 1000)
+    names = {"join_kb": "join_kb", "join_s": "join", "restart_s": "restart", "peer_messages": "messages",
+             "peer_bytes": "bytes", "peer_cpu_us": "cpu_us"}
+    with ProcessPoolExecutor(2) as pool:
+        told = dict(zip(sizes, pool.map(peers.virtual, sizes, [seed] * len(sizes))))
+    return {name: {size: told[size][key] for size in sizes} for name, key in names.items()}
+
+
+GROUPS: dict[str, Callable[[int], Found]] = {
+    "hearing": lambda repeat: of_hearing(), "deciding": lambda repeat: of_deciding(),
+    "telling": lambda repeat: of_telling(), "rest": lambda repeat: of_rest(), "members": of_members,
+}
+
+
+def machine() -> dict[str, Any]:
+    models = [line.partition(":")[2].strip() for line in Path("/proc/cpuinfo").read_text().splitlines()
+              if line.startswith("model name")]
+    pages = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    return {"processor": models[0] if models else platform.machine(), "cores": os.cpu_count(),
+            "memory_gb": round(pages / 1e9, 1), "system": f"{platform.system()} {platform.release()}",
+            "python": platform.python_version(), "numpy": numpy.__version__, "orjson": orjson.__version__}
+
+
+def commit() -> str:
+    """The commit that the measured tree stands on; with a plus where files differ from it."""
+    def git(*words: str) -> str:
+        command = ["git", "-C", str(ROOT), *words]
+        return subprocess.run(command, check=True, capture_output=True, text=True).stdout
+    changed = git("status", "--porcelain", "--untracked-files=no", "--", "pumicepath")
+    return git("rev-parse", "--short", "HEAD").strip() + ("+" if changed.strip() else "")
+
+
+def measure(group: str, repeats: int) -> dict[str, Any]:
+    run = {"date": datetime.now(UTC).strftime("%Y-%m-%d %H:%M"), "commit": commit(),
+           "load": round(os.getloadavg()[0], 1),
+           "command": f"benchmarks/capacity.py --only {group} --repeats {repeats}"}
+    values: dict[str, dict[float, list[float]]] = {}
+    for repeat in range(repeats):
+        for name, sizes in GROUPS[group](repeat + 1).items():
+            for size, value in sizes.items():
+                values.setdefault(name, {}).setdefault(size, []).append(float(f"{value:.4g}"))
+                print(f"{group} {repeat + 1}: {SERIES[name].what}, {size:,} {SERIES[name].by}: {value:.4g} "
+                      f"{SERIES[name].unit}", flush=True)
+    form = FORM.partition(":")[0]
+    return {name: {"what": SERIES[name].what, "unit": SERIES[name].unit, "by": SERIES[name].by,
+                   "form": form if SERIES[name].compiled else "interpreted", "run": run,
+                   "points": [[size, found] for size, found in sorted(sizes.items())]}
+            for name, sizes in values.items()}
+
+
+def keep(found: dict[str, Any]) -> None:
+    data = json.loads(FILE.read_text()) if FILE.exists() else {"machine": {}, "series": {}}
+    data["machine"] = machine()
+    data["series"] = dict(sorted({**data["series"], **found}.items()))
+    slopes.decode(data)
+    options = orjson.OPT_INDENT_2
+    text = orjson.dumps(data, option=options).decode()
+    FILE.write_text(compact(text))
+
+
+def compact(text: str) -> str:
+    """A size with its repeats on one line."""
+
+    return re.sub(r"\[\s+([\d.e+-]+),\s+\[([^\]]*)\]\s+\]", lambda found: (
+        f"[{found[1]}, [{', '.join(found[2].split()).replace(',,', ',')}]]"), text) + "\n"
+
+
+@click.command()
+@click.option("--only", multiple=True, type=click.Choice(list(GROUPS)), help="These groups; else all.")
+@click.option("--repeats", default=3, show_default=True, help="Of each group; tables go by the middle.")
+@click.option("--write-page", is_flag=True, help="Write the page's tables from the file and measure nothing.")
+def main(only: tuple[str, ...], repeats: int, write_page: bool) -> None:
+    if not write_page:
+        for group in only or tuple(GROUPS):
+            keep(measure(group, repeats))
+    try:
+        capacity = slopes.decode(json.loads(FILE.read_text()))
+        PAGE.write_text(page.written(PAGE.read_text(), capacity))
+    except (slopes.BadCapacity, ValueError, OSError) as trouble:
+        print(f"{FILE.name}: {trouble}", file=sys.stderr)
+        sys.exit(2)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,155 @@
+"""The capacity page: its tables are its file's, its formulas are right on cases worked by hand."""
+
+from __future__ import annotations
+
+import copy
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from pumicepath.lab.capacity import page, ranking, rows
+from pumicepath.lab.capacity.slopes import BadCapacity, Capacity, Figure, decode, line
+from pumicepath.lab.capacity.target import ASSUMED, TARGET, Assumed
+
+DOCS = Path(__file__).parent.parent / "docs"
+DATA = json.loads((DOCS / "capacity.json").read_text())
+RUN = {"date": "2026-12-02 04:00", "commit": "c0b84f1", "load": 1.0, "command": "by hand"}
+
+
+def series(points: list[Any], form: str = "compiled") -> dict[str, Any]:
+    return {"what": "a thing", "unit": "us", "by": "servers", "form": form, "run": dict(RUN),
+            "points": points}
+
+
+def capacity(**named: list[Any]) -> Capacity:
+    told = {name: series(points) for name, points in named.items()}
+    return decode({"machine": DATA["machine"], "series": told})
+
+
+STRAIGHT = [[10, [30, 30, 31]], [20, [50]], [30, [70, 60, 80]], [40, [90]]]      # 10 + 2 n
+
+
+def test_the_page_is_what_the_file_says() -> None:
+    text = (DOCS / "CAPACITY.md").read_text()
+    assert page.written(text, decode(DATA)) == text, "benchmarks/capacity.py --write-page was not run"
+
+
+def test_a_figure_changed_in_the_file_shows_in_the_page() -> None:
+    text = (DOCS / "CAPACITY.md").read_text()
+    for name in DATA["series"]:
+        changed = copy.deepcopy(DATA)
+        for point in changed["series"][name]["points"]:
+            point[1] = [3 * value for value in point[1]]
+        assert page.written(text, decode(changed)) != text, name
+
+
+@pytest.mark.parametrize("text", ["", "<!-- begin odd -->\n<!-- end odd -->\n"])
+def test_a_page_without_its_markers_is_refused(text: str) -> None:
+    with pytest.raises(ValueError, match="table"):
+        page.written(text, decode(DATA))
+    whole = (DOCS / "CAPACITY.md").read_text()
+    with pytest.raises(ValueError, match="odd"):
+        page.written(whole + "<!-- begin odd -->\n<!-- end odd -->\n", decode(DATA))
+
+
+def test_a_line_and_its_residual() -> None:
+    found = line([(10, 30), (20, 50), (30, 70), (40, 90)])
+    assert found.base == pytest.approx(10) and found.slope == pytest.approx(2)
+    assert found.residual == pytest.approx(0, abs=1e-9) and found.linear
+    square = line([(1, 1), (10, 100), (100, 10_000), (1000, 1_000_000)])
+    assert not square.linear and square.residual > 0.5
+
+
+def test_figures_between_beyond_and_below_what_was_measured() -> None:
+    known = capacity(straight=STRAIGHT, bent=[[1, [1]], [10, [100]], [100, [10_000]], [200, [40_000]]])
+    assert known.at("straight", 25) == Figure(60, "measured")
+    assert known.at("straight", 5) == Figure(30, "measured")
+    far = known.at("straight", 1000)
+    assert (far.value, far.kind, far.beyond) == (pytest.approx(2010), "extrapolated", 25)
+    assert known.at("bent", 300).value == pytest.approx(70_000)     # by the line through the last two points
+    assert known["straight"].spread == pytest.approx(20 / 70)
+
+
+def test_what_figures_become_together() -> None:
+    measured, far, by_hand = Figure(6, "measured"), Figure(3, "extrapolated", 4), Figure(2)
+    assert measured.times(2) == Figure(12, "measured")
+    assert measured.over(far) == Figure(2, "extrapolated", 4)
+    assert far.plus(by_hand) == Figure(5, "reckoned", 4)
+
+
+def test_a_figure_says_how_it_is_known() -> None:
+    assert rows.known(Figure(1, "measured")) == "measured"
+    assert rows.known(Figure(1, "extrapolated", 4)) == "extrapolated, x 4"
+    assert "more than 20 times" in rows.known(Figure(1, "extrapolated", 25))
+    told = [rows.short(value) for value in (0.12345, 9.999, 123.4, 12_345.6)]
+    assert told == ["0.123", "10", "123", "12,300"]
+
+
+def test_a_row_against_its_budget() -> None:
+    row = rows.Row("role", "what", Figure(9, "measured"), "s", 6, "f", ("straight",), "m")
+    assert row.factor == 1.5 and rows.against(row) == "**1.5**"
+    assert rows.cells(row, capacity(straight=STRAIGHT)) == [
+        "what", "9 s", "6 s", "**1.5**", "measured, compiled", "f [straight]", "m"]
+    assert rows.against(rows.Row("role", "what", Figure(9), "s", None, "f", (), "m")) == "no budget"
+
+
+def test_changes_a_second() -> None:
+    # 61,000 and three each for 40 and 1,600 servers, in 86,400 s.
+    assert ranking.changes_s(TARGET, ASSUMED) == pytest.approx(65_920 / 86_400)
+    assert ranking.changes_s(TARGET, Assumed(steps=6)) == pytest.approx(70_840 / 86_400)
+
+
+def test_the_ranking_by_hand() -> None:
+    found = {(row.role, row.what): row for row in ranking.direct(decode(DATA), TARGET, ASSUMED)}
+    size, values = DATA["series"]["list_bytes"]["points"][-1]
+    assert size == 20_000
+    by_bytes = next(row for (_, what), row in found.items() if what.startswith("a whole list, bytes"))
+    assert by_bytes.value.value == pytest.approx(sorted(values)[len(values) // 2] / 1000)
+    assert by_bytes.factor == pytest.approx(by_bytes.value.value / 42)
+    ordered = ranking.ranked(decode(DATA), TARGET, ASSUMED)
+    roles = list(dict.fromkeys(row.role for row in ordered))
+    worst = [max(row.factor for row in ordered if row.role == role) for role in roles]
+    assert worst == sorted(worst, reverse=True) and len(ordered) == len(found)
+
+
+ODD: list[tuple[tuple[Any, ...], Any, str]] = [
+    (("machine",), None, "machine is missing"),
+    (("machine", "cores"), None, "machine.cores is missing"),
+    (("machine", "cores"), "8", "machine.cores"),
+    (("extra",), 1, "extra is not known"),
+    (("series", "told_us", "form"), "fast", "series.told_us.form"),
+    (("series", "told_us", "form"), None, "series.told_us.form is missing"),
+    (("series", "told_us", "other"), 1, "series.told_us.other is not known"),
+    (("series", "told_us", "run", "commit"), None, "series.told_us.run.commit is missing"),
+    (("series", "told_us", "run", "load"), -1, "series.told_us.run.load"),
+    (("series", "told_us", "points"), [[1, [1]], [2, [1]], [3, [1]]], "fewer than 4"),
+    (("series", "told_us", "points", 1), [200], r"points\[1\]"),
+    (("series", "told_us", "points", 1), [1, [3]], "do not grow"),
+    (("series", "told_us", "points", 1), [200, []], r"points\[1\]"),
+    (("series", "told_us", "points", 1), [200, [float("nan")]], "above 0"),
+    (("series", "told_us", "points", 1), [200, [True]], "above 0"),
+    (("series", "told_us", "points", 1), [200, [0]], "above 0"),
+]
+
+
+@pytest.mark.parametrize("path, value, says", ODD)
+def test_what_is_missing_or_odd_is_an_error(path: tuple[Any, ...], value: Any, says: str) -> None:
+    changed = copy.deepcopy(DATA)
+    inside = changed
+    for key in path[:-1]:
+        inside = inside[key]
+    if value is None:
+        del inside[path[-1]]
+    else:
+        inside[path[-1]] = value
+    with pytest.raises(BadCapacity, match=says):
+        decode(changed)
+
+
+def test_a_series_that_a_row_needs_and_the_file_lacks_is_named() -> None:
+    changed = copy.deepcopy(DATA)
+    del changed["series"]["told_us"]
+    with pytest.raises(BadCapacity, match="series.told_us is missing"):
+        page.written((DOCS / "CAPACITY.md").read_text(), decode(changed))
