pumicepath relay: lists of each region's discovery to many followers, by service

Each sidecar asks the one discovery today, which works through calls in turn. A relay watches one discovery a region and hands on whole lists and changes, only of the services that a follower names (parameter services; without it answers are as discovery's own). Whole lists are paced for all together, changes of 50 ms go in one answer, and each queue, buffer and descriptor has its bound.

--- a/pumicepath/command.py
+++ b/pumicepath/command.py
@@ -5,7 +5,7 @@
 import click
 
 from . import __version__
-from .commands import demo, lab, peers, sidecar
+from .commands import demo, lab, peers, relay, sidecar
 
 
 @click.group()
@@ -22,5 +22,6 @@
 main.add_command(sidecar.serve)
 main.add_command(sidecar.check)
 main.add_command(peers.peers)
+main.add_command(relay.relay)
 main.add_command(lab.lab)
 main.add_command(demo.demo)
--- /dev/null
+++ b/pumicepath/distribution/interests.py
@@ -0,0 +1,46 @@
+"""Which services a follower asks for, as the parameter `services` of a call names them.
+
+    interest = interest_of("cart,stock")        # raises ValueError for what names none
+    interest_of(None)                           # a call without the parameter: all, in the form without it
+"""
+
+from __future__ import annotations
+
+import re
+from functools import lru_cache
+from typing import NamedTuple
+
+MOST_NAMES = 256
+NAMES = re.compile(r"[A-Za-z0-9._-]{1,64}(,[A-Za-z0-9._-]{1,64})*")
+NAME = re.compile(r"[A-Za-z0-9._-]{0,64}")
+ALL = "*"
+
+
+class Interest(NamedTuple):
+    """`text` is the same for all that ask the same; `names` has "" first: a line with no service is all's."""
+
+    text: str
+    names: tuple[str, ...]
+    every: bool
+    plain: bool
+
+    def wants(self, service: str) -> bool:
+        return self.every or service in self.names
+
+
+PLAIN = Interest("", (), True, True)
+EVERY = Interest(ALL, (), True, False)
+
+
+@lru_cache(1024)
+def interest_of(text: str | None) -> Interest:
+    if text is None:
+        return PLAIN
+    if text == ALL:
+        return EVERY
+    if NAMES.fullmatch(text) is None:
+        raise ValueError("services: names of 1 to 64 of A-Z a-z 0-9 . _ - and commas between them, or *")
+    names = sorted(set(text.split(",")))
+    if len(names) > MOST_NAMES:
+        raise ValueError(f"services: {len(names)} names, at most {MOST_NAMES}")
+    return Interest(",".join(names), ("", *names), False, False)
--- /dev/null
+++ b/pumicepath/relay/clock.py
@@ -0,0 +1,9 @@
+"""Whole microseconds of the monotonic clock."""
+
+from __future__ import annotations
+
+import time
+
+
+def clock() -> int:
+    return time.monotonic_ns() // 1000
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,445 @@
+"""Real relay processes between an origin that does as it is told and followers that ask by hand."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from pumicepath.command import main
+from pumicepath.http1 import writing
+from pumicepath.http1.parsing import ResponseParser
+from pumicepath.lab.loopback.scripted import next_of
+
+from .relay_rig import Follower, Origin, Relay, line, until
+
+Make = Callable[..., Relay]
+
+
+@pytest.fixture
+def relays(tmp_path: Path) -> Iterator[Make]:
+    made: list[Relay] = []
+
+    def make(sources: dict[str, Origin], **changed: Any) -> Relay:
+        made.append(Relay(tmp_path, sources, f"r{len(made)}", **changed))
+        return made[-1]
+    yield make
+    for relay in made:
+        relay.kill()
+
+
+def three() -> Origin:
+    return Origin([line("a", "cart"), line("b", "stock"), line("c")], seq=41)
+
+
+def live(follower: Follower, region: str = "eu") -> bool:
+    return bool(follower.regions.get(region, {}).get("live"))
+
+
+# The file
+
+GOOD = {"name": "r", "listen": "127.0.0.1:0", "sources": {"eu": "127.0.0.1:9"}}
+
+
+@pytest.mark.parametrize("key, value", [
+    ("name", 3), ("name", "x" * 129), ("listen", None), ("listen", "here"), ("listen", 8600),
+    ("listen", "127.0.0.1:99999"), ("sources", None), ("sources", {}), ("sources", ["127.0.0.1:9"]),
+    ("sources", {"e u": "127.0.0.1:9"}), ("sources", {"eu": "nowhere"}), ("sources", {"eu": 9}),
+    ("sources", {f"r{at}": "127.0.0.1:9" for at in range(65)}), ("admin", "there"), ("admin", 8601),
+    ("batchMs", -1), ("batchMs", 1001), ("batchMs", "50"), ("batchMs", True), ("mostFollowers", 0),
+    ("mostFollowers", 1.5), ("wholeBytesPerS", 0), ("wholeBytesPerS", None), ("historyChanges", 0),
+    ("historyChanges", 10**8), ("batchMS", 50),
+])
+def test_a_bad_file_is_named_with_its_key_in_one_line(tmp_path: Path, key: str, value: object) -> None:
+    path = tmp_path / "relay.json"
+    told: dict[str, Any] = {**GOOD, key: value}
+    path.write_text(json.dumps(told))
+    result = CliRunner().invoke(main, ["relay", "--config", str(path)])
+    assert result.exit_code == 2
+    assert result.output.startswith(f"pumicepath: {path}: {key}") and result.output.count("\n") == 1
+
+
+@pytest.mark.parametrize("text", ("", "[]", "{", '{"a":' * 9000), ids=("empty", "list", "cut", "deep"))
+def test_a_file_that_is_none(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "relay.json"
+    path.write_text(text)
+    for given in (["--config", str(path)], ["--config", str(tmp_path / "none")], []):
+        result = CliRunner().invoke(main, ["relay", *given], env={"GW_RELAY_CONFIG": ""})
+        assert result.exit_code == 2 and result.output.count("\n") == 1
+
+
+@pytest.mark.parametrize("key", ("listen", "sources"))
+def test_a_key_that_is_missing(tmp_path: Path, key: str) -> None:
+    path = tmp_path / "relay.json"
+    path.write_text(json.dumps({name: value for name, value in GOOD.items() if name != key}))
+    result = CliRunner().invoke(main, ["relay", "--config", str(path)])
+    assert result.exit_code == 2 and result.output == f"pumicepath: {path}: {key} is missing\n"
+
+
+def test_an_address_that_is_taken(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        path = tmp_path / "relay.json"
+        path.write_text(json.dumps({**GOOD, "listen": f"127.0.0.1:{taken.getsockname()[1]}"}))
+        result = CliRunner().invoke(main, ["relay", "--config", str(path)])
+    assert result.exit_code == 2 and "listen" in result.output and result.output.count("\n") == 1
+
+
+# What it hands on
+
+def test_each_follower_gets_its_services_of_all_regions_and_nothing_else(relays: Make) -> None:
+    eu, us = three(), Origin([line("x", "cart"), line("y", "pay")], seq=7)
+    relay = relays({"eu": eu, "us": us})
+    cart, every = Follower(relay.where, "cart"), Follower(relay.where)
+    cart.follow(lambda: set(cart.held) == {"a", "c", "x"})
+    every.follow(lambda: set(every.held) == {"a", "b", "c", "x", "y"})
+    assert cart.held["x"] == {**line("x", "cart"), "region": "us"}
+    assert cart.held["c"] == {**line("c"), "region": "eu"}
+    cart.follow(lambda: live(cart) and live(cart, "us"))
+    assert {name: one["seq"] for name, one in cart.regions.items()} == {"eu": 41, "us": 7}
+    cart.ask(3000)
+    until(lambda: relay.stats()["waiting"] == 1)
+    eu.drop("b")
+    every.follow(lambda: "b" not in every.held)
+    eu.put(line("a", "cart", "leaving"))
+    told = cart.hear()
+    assert told is not None and [one["host"] for one in told["hosts"]] == ["a"] and not told["whole"]
+    assert told["regions"]["eu"]["seq"] == 43 and cart.held["a"]["health"] == "leaving"
+    assert not any("since=" in call and "services=*" not in call for call in eu.calls)
+
+
+def test_without_the_parameter_the_answer_is_discoverys_own(relays: Make) -> None:
+    origin = three()
+    relay = relays({"eu": origin})
+    plain = Follower(relay.where, None)
+    plain.follow(lambda: len(plain.held) == 3)
+    whole = Follower(relay.where, None).call()
+    assert whole is not None and set(whole) == {"seq", "whole", "hosts"}
+    assert sorted(map(str, whole["hosts"])) == sorted(map(str, (line("a"), line("b"), line("c"))))
+    origin.drop("a")
+    plain.follow(lambda: "a" not in plain.held)
+    assert plain.regions == {}
+
+
+def test_changes_of_a_short_while_go_in_one_answer(relays: Make) -> None:
+    origin = three()
+    relay = relays({"eu": origin}, batchMs=1000)
+    follower = Follower(relay.where, "cart")
+    follower.follow(lambda: live(follower))
+    follower.ask(3000)
+    until(lambda: relay.stats()["waiting"] == 1)
+    for at in range(5):
+        origin.put(line(f"n{at}", "cart"))
+    told = follower.hear()
+    assert told is not None and {one["host"] for one in told["hosts"]} == {f"n{at}" for at in range(5)}
+
+
+def test_what_is_no_call_is_told_so_and_calls_sent_ahead_are_answered_in_turn(relays: Make) -> None:
+    relay = relays({"eu": three()})
+    Follower(relay.where).follow(lambda: True)
+    for target, status in (("/discovery/hosts?services=a%20b", 400), ("/discovery/hosts?since=x", 400),
+                           ("/other", 404), ("/stats", 404), ("/discovery/hosts?services=cart%2Cpay", 200)):
+        with socket.create_connection(relay.where) as sock:
+            sock.sendall(writing.request("GET", target, [("Host", "r")]))
+            assert next_of(sock, ResponseParser()).status == status, target
+    with socket.create_connection(relay.where) as sock:
+        sock.sendall(b"NONSENSE\r\n\r\n")
+        assert next_of(sock, ResponseParser()).status == 400
+    with socket.create_connection(relay.where) as sock:
+        parser = ResponseParser()
+        sock.sendall(writing.request("GET", "/discovery/hosts", [("Host", "r")]) * 150)
+        assert [next_of(sock, parser).status for _ in range(150)] == [200] * 150
+    assert relay.process.poll() is None
+
+
+def test_sigterm_ends_it_at_once_with_0(relays: Make) -> None:
+    relay = relays({"eu": three()})
+    follower = Follower(relay.where)
+    follower.follow(lambda: live(follower))
+    follower.ask(3000)
+    relay.signal(signal.SIGTERM)
+    assert relay.process.wait(20) == 0
+    assert follower.hear() is None
+    assert relay.event("stopped")["followers"] == 1
+
+
+# Its own troubles
+
+def test_before_any_list_it_says_so_and_one_region_that_is_out_holds_nothing_up(relays: Make) -> None:
+    eu, us = three(), Origin([line("x", "cart")])
+    us.refuse()
+    relay = relays({"us": us})
+    assert Follower(relay.where).call() is None
+    assert relay.event("region_lost")["region"] == "us"
+    other = relays({"us": us, "eu": eu})
+    follower = Follower(other.where)
+    follower.follow(lambda: set(follower.held) == {"a", "b", "c"})
+    assert set(follower.regions) == {"eu"}
+    us.back()
+    follower.follow(lambda: "x" in follower.held and live(follower, "us"))
+
+
+def test_killed_and_started_anew_it_gives_the_whole_list_for_its_old_versions(relays: Make) -> None:
+    origin = three()
+    relay = relays({"eu": origin})
+    follower = Follower(relay.where)
+    follower.follow(lambda: live(follower))
+    before = follower.seq
+    follower.ask(3000)
+    relay.kill()
+    assert follower.hear() is None
+    origin.drop("a")
+    relay.again()
+    follower.dial(relay.where)
+    until(lambda: relay.stats()["servers"] == 2)
+    told = follower.call(3000)
+    assert told is not None and told["whole"] and told["seq"] > before
+    assert set(follower.held) == {"b", "c"} and told["regions"]["eu"]["seq"] == 42
+
+
+def test_two_relays_continue_their_own_versions_only(relays: Make) -> None:
+    origin = three()
+    one, other = relays({"eu": origin}), relays({"eu": origin})
+    follower, keeper = Follower(one.where), Follower(other.where)
+    for at in range(3):
+        origin.put(line(f"n{at}", "cart"))
+        follower.follow(lambda at=at: f"n{at}" in follower.held)
+    keeper.follow(lambda: "n2" in keeper.held)
+    origin.drop("n0")
+    follower.follow(lambda: "n0" not in follower.held)
+    keeper.follow(lambda: "n0" not in keeper.held)
+    follower.dial(other.where)
+    told = follower.call(3000)
+    assert told is not None and told["whole"] and follower.held == keeper.held
+
+
+def test_after_standing_still_it_claims_no_touch_by_old_word(relays: Make) -> None:
+    """What the origin has answered meanwhile lies in the socket, older than it looks."""
+    origin = three()
+    relay = relays({"eu": origin})
+    follower = Follower(relay.where)
+    follower.follow(lambda: live(follower))
+    until(lambda: "since=41" in origin.calls[-1])
+    relay.signal(signal.SIGSTOP)
+    origin.put(line("n", "cart"))
+    time.sleep(3.5)             # longer than any call to an origin may take
+    origin.drop("a")
+    follower.ask(0)
+    relay.signal(signal.SIGCONT)
+    told = follower.hear()
+    assert told is not None
+    assert not live(follower) or told["regions"]["eu"]["seq"] == 43
+    follower.follow(lambda: live(follower))
+    assert set(follower.held) == {"b", "c", "n"} and follower.regions["eu"]["seq"] == 43
+
+
+def test_a_follower_that_never_reads_is_cut_off_and_the_others_are_served(relays: Make) -> None:
+    origin = Origin([line(f"h{at:05}", "cart") for at in range(15_000)])
+    relay = relays({"eu": origin}, wholeBytesPerS=10**10)
+    follower = Follower(relay.where, "pay")
+    follower.follow(lambda: live(follower))
+    slow = []
+    for _ in range(20):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(relay.where)
+        sock.sendall(writing.request("GET", "/discovery/hosts", [("Host", "r")]))
+        slow.append(sock)
+    until(lambda: relay.stats()["cut_slow"] > 0)
+    assert relay.stats()["unsent"] <= 32 << 20
+    origin.put(line("n", "pay"))
+    follower.follow(lambda: "n" in follower.held)
+    until(lambda: relay.stats()["slow"] == 0)
+    found = relay.stats()
+    assert found["cut_slow"] == 20 and found["unsent"] == 0 and found["followers"] == 1
+
+
+def test_whole_lists_are_paced_and_those_that_follow_are_not_slowed(relays: Make) -> None:
+    origin = Origin([line(f"h{at:03}", "cart") for at in range(300)])
+    relay = relays({"eu": origin}, wholeBytesPerS=200_000)
+    follower = Follower(relay.where, "pay")
+    follower.follow(lambda: live(follower))
+    follower.ask(3000)
+    crowd = [Follower(relay.where, "cart") for _ in range(30)]
+    for one in crowd:
+        one.ask()
+    relay.event("whole_paced")
+    assert relay.stats()["whole_waiting"] <= 10
+    origin.put(line("n", "pay"))
+    told = follower.hear()
+    assert told is not None and [one["host"] for one in told["hosts"]] == ["n"]
+    answers = [one.hear() for one in crowd]
+    served = sum(answer is not None for answer in answers)
+    assert 5 <= served <= 12 and all(answer is None or answer["whole"] for answer in answers)
+    assert relay.event("whole_done")["refused"] == 30 - served
+    refused = next(one for one, answer in zip(crowd, answers) if answer is None)
+    refused.dial(relay.where)   # who asks again gets it
+    refused.follow(lambda: len(refused.held) == 300)
+
+
+def test_a_full_descriptor_table_turns_away_the_next_and_serves_those_there_are(relays: Make) -> None:
+    origin = three()
+    relay = relays({"eu": origin}, files=64)
+    most = relay.event("started")["most_followers"]
+    assert most < 30
+    followers = [Follower(relay.where) for _ in range(most)]
+    for one in followers:
+        one.follow(lambda one=one: live(one))
+        one.ask(20_000)
+    turned = [Follower(relay.where) for _ in range(10)]
+    for one in turned:
+        one.sock.settimeout(20)
+        assert one.sock.recv(100)[:12] in (b"HTTP/1.1 503", b"")
+    assert relay.event("followers_full")["followers"] == most
+    origin.reset()      # the way to the origin has room
+    origin.put(line("n", "cart"))
+    for one in followers:
+        one.hear()
+        one.follow(lambda one=one: "n" in one.held)
+    followers.pop().close()
+    relay.event("followers_room")
+    late = Follower(relay.where)
+    late.follow(lambda: "n" in late.held)
+
+
+def test_when_no_descriptor_is_left_accepting_rests_and_goes_on(relays: Make) -> None:
+    origin = three()
+    relay = relays({"eu": origin})
+    follower = Follower(relay.where)
+    follower.follow(lambda: live(follower))
+    pid = relay.process.pid
+    used = max(int(name) for name in os.listdir(f"/proc/{pid}/fd")) + 1
+    before = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (used, before[1]))
+    late = Follower(relay.where)
+    late.ask()
+    assert "open files" in relay.event("followers_full")["why"]
+
+    def burnt() -> float:
+        with open(f"/proc/{pid}/stat") as file:
+            return sum(map(int, file.read().rpartition(")")[2].split()[11:13])) / os.sysconf("SC_CLK_TCK")
+    then = burnt()
+    time.sleep(1)
+    assert burnt() - then < 0.5
+    origin.put(line("n", "cart"))
+    follower.follow(lambda: "n" in follower.held)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, before)
+    assert late.hear() is not None and "n" in late.held
+
+
+def test_who_connects_and_asks_nothing_is_closed(relays: Make) -> None:
+    relay = relays({"eu": three()})
+    idle = [socket.create_connection(relay.where) for _ in range(3)]
+    idle[1].sendall(b"GET /disc")
+    for sock in idle:
+        sock.settimeout(20)
+        assert sock.recv(100) == b""
+    assert relay.stats()["idle"] == 3
+
+
+# Its origins' troubles
+
+def test_a_region_that_is_cut_off_keeps_its_last_list_and_the_other_goes_on(relays: Make) -> None:
+    eu, us = three(), Origin([line("x", "cart")])
+    relay = relays({"eu": eu, "us": us})
+    follower = Follower(relay.where)
+    follower.follow(lambda: live(follower) and live(follower, "us"))
+    us.hush(True)
+    us.put(line("z", "cart"))
+    us.drop("x")
+    follower.follow(lambda: not live(follower, "us"), wait_ms=3000)
+    assert live(follower) and "x" in follower.held
+    lost = relay.event("region_lost")
+    assert lost["region"] == "us" and lost["why"] == "silent" and lost["servers"] == 1
+    eu.drop("a")
+    follower.follow(lambda: "a" not in follower.held)
+    assert "x" in follower.held and "z" not in follower.held
+    us.hush(False)
+    follower.follow(lambda: live(follower, "us"), wait_ms=3000)
+    assert "z" in follower.held and "x" not in follower.held and follower.regions["us"]["seq"] == us.seq
+    until(lambda: [one["region"] for one in relay.named("region_back")].count("us") == 2)
+
+
+def test_an_origin_that_refuses_is_dialled_until_it_is_back(relays: Make) -> None:
+    origin = three()
+    relay = relays({"eu": origin})
+    follower = Follower(relay.where)
+    follower.follow(lambda: live(follower))
+    origin.refuse()
+    follower.follow(lambda: not live(follower), wait_ms=3000)
+    assert len(follower.held) == 3
+    origin.drop("a")
+    origin.back()
+    follower.follow(lambda: live(follower), wait_ms=3000)
+    assert set(follower.held) == {"b", "c"}
+
+
+def test_one_broken_connection_to_an_origin_is_no_loss_of_the_region(relays: Make) -> None:
+    origin = three()
+    relay = relays({"eu": origin})
+    follower = Follower(relay.where)
+    follower.follow(lambda: live(follower))
+    calls = len(origin.calls)
+    origin.reset()
+    until(lambda: len(origin.calls) > calls + 1)
+    origin.drop("a")
+    follower.follow(lambda: "a" not in follower.held)
+    assert not relay.named("region_lost")
+
+
+def test_an_origin_whose_versions_begin_anew_is_believed_in_the_end(relays: Make) -> None:
+    origin = three()
+    relay = relays({"eu": origin})
+    follower = Follower(relay.where)
+    follower.follow(lambda: live(follower))
+    origin.restart(3, [line("b", "stock"), line("n", "cart")])
+    follower.follow(lambda: "n" in follower.held)
+    assert follower.regions["eu"]["seq"] == 3 and set(follower.held) == {"b", "n"}
+    told = relay.event("origin_restarted")
+    assert told["before"] == 41 and told["seq"] == 3
+    origin.drop("b")
+    follower.follow(lambda: set(follower.held) == {"n"})
+
+
+@pytest.mark.parametrize("bad, why", [
+    ({"seq": 40, "whole": True, "hosts": [line("b", "stock")]}, "version 40 after 41"),
+    ({"seq": 40, "whole": False, "hosts": [line("a", "cart", "left")]}, "version 40 after 41"),
+    ({"seq": 42, "whole": True, "hosts": []}, "an empty list"),
+    ({"seq": 42, "whole": False, "hosts": [line("n", "not a name")]}, "is no service"),
+    ({"seq": 42, "whole": False, "hosts": [{**line("n", "cart"), "dial": "here"}]}, "is no address"),
+    ({"seq": 42, "whole": False, "hosts": [line("n"), line("n")]}, "a server twice"),
+    ({"seq": 42, "hosts": [line("n")]}, "whole"),
+    ([], "TypeError"),
+])
+def test_a_list_that_can_not_be_meant_goes_no_further(relays: Make, bad: Any, why: str) -> None:
+    origin = three()
+    relay = relays({"eu": origin})
+    follower = Follower(relay.where)
+    follower.follow(lambda: live(follower))
+    origin.scripted.append(json.dumps(bad).encode())
+    calls = len(origin.calls)
+    origin.reset()
+    assert why in relay.event("list_refused")["why"]
+    until(lambda: len(origin.calls) > calls + 2)    # it was asked anew, and that is answered as well
+    origin.put(line("m", "cart"))
+    follower.follow(lambda: "m" in follower.held)
+    assert set(follower.held) == {"a", "b", "c", "m"} and follower.regions["eu"]["seq"] == 42
+
+
+def test_a_list_that_halves_is_passed_on_and_told(relays: Make) -> None:
+    origin = three()
+    relay = relays({"eu": origin})
+    follower = Follower(relay.where)
+    follower.follow(lambda: live(follower))
+    origin.restart(50, [line("b", "stock")])
+    follower.follow(lambda: set(follower.held) == {"b"})
+    halved = relay.event("list_halved")
+    assert (halved["before"], halved["servers"]) == (3, 1)
