--- a/pumicepath/relay/loop.py
+++ b/pumicepath/relay/loop.py
@@ -86,7 +86,8 @@
             at = max(now, min(self.next_at(now), self.swept + SWEEP))
             found = self.selector.select((at - now) / 1e6)
             now = clock()
-            self.counts["late"] += now > at + LATE
+            if now > at + LATE:
+                self.stood_still(now)
             # Origins first, and their silence before what came of them meanwhile: guards followers against
             # being told that a region is in touch by word as old as this process stood still.
             for upstream in self.upstreams:
@@ -109,6 +110,13 @@
                        followers=len(self.followers), answers=self.counts["answers"])
         self.log.flush()
 
+    def stood_still(self, now: int) -> None:
+        """Guards followers against being taken for idle for the time in which nobody read what they ask."""
+        self.counts["late"] += 1
+        for follower in self.followers.values():
+            if follower.state != OUT:
+                follower.at = now
+
     def next_at(self, now: int) -> int:
         if self.again:
             return 0
