--- a/pumicepath/distribution/held.py
+++ b/pumicepath/distribution/held.py
@@ -21,7 +21,7 @@
 
 from .interests import Interest
 
-MOST_CACHED = 8 << 20       # bytes of answers that are kept for the next that asks the same
+MOST_CACHED = 2 << 20       # bytes of answers that are kept for the next that asks the same, or one answer
 
 
 class Line:
--- a/pumicepath/distribution/interests.py
+++ b/pumicepath/distribution/interests.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+import sys
 from functools import lru_cache
 from typing import NamedTuple
 
@@ -40,7 +41,7 @@
         return EVERY
     if NAMES.fullmatch(text) is None:
         raise ValueError("services: names of 1 to 64 of A-Z a-z 0-9 . _ - and commas between them, or *")
-    names = sorted(set(text.split(",")))
+    names = sorted({sys.intern(name) for name in text.split(",")})  # thousands of followers name the same
     if len(names) > MOST_NAMES:
         raise ValueError(f"services: {len(names)} names, at most {MOST_NAMES}")
     return Interest(",".join(names), ("", *names), False, False)
--- a/pumicepath/relay/loop.py
+++ b/pumicepath/relay/loop.py
@@ -12,6 +12,7 @@
 import resource
 import selectors
 import socket
+import time
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
@@ -36,6 +37,7 @@
 MOST_UNSENT = 32 << 20      # bytes that sockets have not taken, of all followers together
 SEND_BUFFER = 64 << 10     # of a connection; the kernel doubles it
 RECEIVE_BUFFER = 16 << 10
+TURN = 10_000               # between two looks at what has come, at least
 SWEEP = 250_000             # between two looks for connections whose time is up
 UNFINISHED = 5_000_000      # from a connection, or from an answer, until the next call is whole
 WRITTEN = 3_000_000         # from an answer's first byte until its socket has taken the last
@@ -106,6 +108,9 @@
             self.whole_lists(now)
             if now >= self.swept + SWEEP:
                 self.sweep(now)
+            if not self.again and not self.subscriptions.ready:
+                # Guards the core against a turn for each call: what comes meanwhile is taken up together.
+                time.sleep(max(0, now + TURN - clock()) / 1e6)
         self.log.event("stopped", after_s=round((clock() - self.started) / 1e6, 3),
                        followers=len(self.followers), answers=self.counts["answers"])
         self.log.flush()
