Relay: a fault of its own ends one connection; first answers that are no whole list are refused

What one follower or origin sends and brings a fault out ended the process. Changes in place of the whole list that was asked for were taken for one, and versions outside of what JSON carries passed on.

--- a/pumicepath/distribution/origins.py
+++ b/pumicepath/distribution/origins.py
@@ -64,6 +64,8 @@
         """
         if whole and not servers:
             raise Refused("an empty list")
+        if not whole and (self.seq < 0 or self.afresh):
+            raise Refused("changes in place of the whole list")
         if seq >= self.seq:
             self.back = 0
             return False
--- a/pumicepath/relay/loop.py
+++ b/pumicepath/relay/loop.py
@@ -17,17 +17,17 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..admin.figures import PREFIX
-from ..discovery.roster import Address
 from ..distribution.held import Held
 from ..distribution.origins import FAILURES, Origin
 from ..distribution.pace import Pace
 from ..distribution.subscriptions import Subscriptions
 from ..http1 import writing
 from ..http1.messages import Malformed, Request
+from . import figures
 from .clock import clock
 from .config import Config
 from .followers import OUT, READING, TEXT, Follower, call_of
+from .listeners import listening, named, send
 from .log import Log
 from .upstreams import Upstream
 
@@ -35,8 +35,6 @@
 KEPT_BACK = 24              # descriptors for listeners, the loop, files, operators; and two for each origin
 MOST_AT_ONCE = 256          # answers, and connections taken, between two looks at all the rest
 MOST_UNSENT = 32 << 20      # bytes that sockets have not taken, of all followers together
-SEND_BUFFER = 64 << 10     # of a connection; the kernel doubles it
-RECEIVE_BUFFER = 16 << 10
 TURN = 10_000               # between two looks at what has come, at least
 SWEEP = 250_000             # between two looks for connections whose time is up
 UNFINISHED = 5_000_000      # from a connection, or from an answer, until the next call is whole
@@ -96,14 +94,14 @@
                 upstream.woke(now)
             for key, mask in found:
                 if isinstance(key.data, Upstream) and key.fileobj is key.data.sock:
-                    key.data.ready(mask, now)
+                    self.guarded(key.data, mask, now)
             for key, mask in found:
                 if isinstance(key.data, Follower):
-                    key.data.ready(mask, now)
+                    self.guarded(key.data, mask, now)
                 elif not isinstance(key.data, Upstream):
                     key.data(now)
             for _ in range(min(MOST_AT_ONCE, len(self.again))):
-                self.again.popleft().ready(0, now)
+                self.guarded(self.again.popleft(), 0, now)
             self.answer_due(now)
             self.whole_lists(now)
             if now >= self.swept + SWEEP:
@@ -115,6 +113,19 @@
                        followers=len(self.followers), answers=self.counts["answers"])
         self.log.flush()
 
+    def guarded(self, peer: Follower | Upstream, mask: int, now: int) -> None:
+        """Guards all others against a fault of our own that what one of them sent brings out."""
+        try:
+            peer.ready(mask, now)
+        except Exception as trouble:
+            self.counts["faults"] += 1
+            self.log.event("fault", text=f"{type(trouble).__name__}: {trouble}",
+                           whose=peer.region if isinstance(peer, Upstream) else "follower")
+            if isinstance(peer, Upstream):
+                peer.failed(now, "fault")
+            else:
+                peer.close()
+
     def stood_still(self, now: int) -> None:
         """Guards followers against being taken for idle for the time in which nobody read what they ask."""
         self.counts["late"] += 1
@@ -362,48 +373,4 @@
         if request.method != "GET":
             raise Malformed(400, f"{request.method} is not GET")
         follower.keep = False
-        follower.tell(200, self.stats(now).encode(), now, TEXT)
-
-    def stats(self, now: int) -> str:
-        held = self.held
-        names = ("calls", "answers", "bytes", "whole", "changes", "concerned", "refused", "refused_whole",
-                 "refused_full", "cut_slow", "idle", "lists_refused", "late")
-        figures: dict[str, int] = {name: self.counts[name] for name in names}
-        figures |= {"version": held.version, "floor": held.floor, "history": len(held.log),
-                    "servers": len(held.shown), "services": len(held.services), "live": held.live(),
-                    "followers": len(self.followers), "most_followers": self.most,
-                    "waiting": self.subscriptions.waiting(), "interests": len(self.subscriptions.groups),
-                    "whole_waiting": len(self.pace.queue), "slow": len(self.slowed), "unsent": self.unsent,
-                    "up_s": (now - self.started) // 1_000_000}
-        for name, region in held.regions.items():
-            figures |= {f"region.{name}.seq": region.seq, f"region.{name}.live": int(region.live),
-                        f"region.{name}.servers": len(region.lines)}
-        return "".join(f"{PREFIX}.relay.{name}={value}\n" for name, value in figures.items())
-
-
-def listening(where: Address) -> socket.socket:
-    listener = socket.socket(socket.AF_INET6 if ":" in where.host else socket.AF_INET)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # Guards the kernel's memory as well against followers that ask and do not read: else it takes 4 MB for
-    # each.  What it accepts has the same.
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-    listener.bind(where)
-    listener.listen(4096)
-    listener.setblocking(False)
-    return listener
-
-
-def named(listener: socket.socket | None) -> str:
-    if listener is None:
-        return ""
-    host, port = listener.getsockname()[:2]
-    return f"{host}:{port}"
-
-
-def send(sock: socket.socket, data: bytes) -> None:
-    try:
-        sock.setblocking(False)
-        sock.send(data)
-    except OSError:
-        pass  # it has gone already
+        follower.tell(200, figures.written(self, now).encode(), now, TEXT)
--- a/pumicepath/relay/upstreams.py
+++ b/pumicepath/relay/upstreams.py
@@ -25,6 +25,7 @@
     from .loop import Relay
 
 MOST_LIST = 32 * 1024 * 1024
+MOST_SEQ = 1 << 53          # what JSON carries exactly everywhere
 DIAL = 500_000              # microseconds; doubled each time that is not enough, up to
 LONGEST_DIAL = 2_000_000
 WHOLE = 1_000_000           # from an answer's first byte to its last
@@ -161,6 +162,8 @@
     except ValueError as trouble:
         raise BadList(str(trouble)) from trouble
     Roster((), lambda born: 1).read(data)
+    if not 0 <= int(data["seq"]) < MOST_SEQ:
+        raise BadList(f"seq: {data['seq']!r}")
     for line in data["hosts"]:
         service = line.get("service", "")
         if not isinstance(line["host"], str) or not isinstance(service, str) or not NAME.fullmatch(service):
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -408,6 +408,8 @@
             origin.believed(seq, whole, servers)
     origin.failed(refused=True)
     assert origin.target() == "/discovery/hosts?services=*"
+    with pytest.raises(Refused):
+        origin.believed(42, False, 1)           # changes, where the whole list was asked for
     assert not origin.believed(41, True, 9)     # that it is as it was begins the count anew
     for _ in range(MOST_BACK - 1):
         with pytest.raises(Refused):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -413,6 +413,7 @@
     ({"seq": 42, "whole": False, "hosts": [{**line("n", "cart"), "dial": "here"}]}, "is no address"),
     ({"seq": 42, "whole": False, "hosts": [line("n"), line("n")]}, "a server twice"),
     ({"seq": 42, "hosts": [line("n")]}, "whole"),
+    ({"seq": 1 << 53, "whole": True, "hosts": [line("n")]}, "seq: "),
     ([], "TypeError"),
 )
 
