--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -27,7 +27,7 @@
 from pumicepath.compiled import FORM  # noqa: E402
 from tests.relay_rig import Origin, Relay, line, until  # noqa: E402
 
-HEAD = re.compile(rb"HTTP/1.1 (\d+) .*?\r\nContent-Length: (\d+)\r\n.*?\r\n\r\n", re.S)
+HEAD = re.compile(rb"HTTP/1.1 (\d+) .*?\r\nContent-Length: (\d+)(?:\r\n[^\r]+)*\r\n\r\n", re.S)
 SEQ = re.compile(rb'{"seq":(\d+)')
 LONGEST_MS = 3000
 WINDOW_S = 1.0
@@ -46,7 +46,10 @@
                           % (since.encode(), self.services.encode()))
 
     def hear(self) -> tuple[int, bytes] | None:
-        self.data += self.sock.recv(1 << 20)
+        data = self.sock.recv(1 << 20)
+        if not data:
+            raise ConnectionResetError("the relay has closed a connection")
+        self.data += data
         head = HEAD.match(self.data)
         if head is None or len(self.data) < head.end() + int(head[2]):
             return None
