--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -3,11 +3,16 @@
 A watch on which nothing comes looks like one on which nothing happens.  What a silent one misses counts as
 told 2 s after the wait that was asked for is over, and no sooner than 6 s after it fell silent.  So each call
 has its bound (`until_silent`), and the first call after any doubt does not wait: its answer comes at once.
+
+With `services` the watch is on relays (`pumicepath/distribution`): it names what it wants lines of, waits
+less long, and takes of each region only what is not older than what it has taken, whichever relay told it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from time import monotonic_ns
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -16,8 +21,12 @@
 from ..http1.parsing import ResponseParser
 from .roster import BadList, Roster, Update
 
+if TYPE_CHECKING:
+    from ..distribution.regions import Regions, Told
+
 MOST_LIST = 4 * 1024 * 1024
 LONGEST_WAIT_MS = 20_000
+RELAYED_WAIT_MS = 3_000     # with `services`: of the 6 s in which what a silent relay misses has to be had
 SHORTEST_PART = 0.5         # of the wait: guards discovery against all sidecars' waits ending together
 AT_ONCE_MS = 1
 SLACK_S = 0.4               # past a wait, of the 2 s in which the call after it has to be answered too
@@ -32,24 +41,69 @@
 class Watch:
     """One watch; `parser` takes the bytes of each answer, `restart` begins on a new connection.
 
-    `share` draws from 0 to 1, so that no two sidecars wait alike.
+    `share` draws from 0 to 1, so that no two sidecars wait alike.  `services` are names, `("*",)` for all;
+    None where the list comes straight from discovery.  `clock` gives microseconds.
     """
 
     def __init__(self, roster: Roster, host: str, version: int, wait_us: int,
-                 share: Callable[[], float] = lambda: 1.0) -> None:
+                 share: Callable[[], float] = lambda: 1.0, services: Sequence[str] | None = None,
+                 clock: Callable[[], int] = lambda: monotonic_ns() // 1000) -> None:
         self.roster = roster
         self.host = host
         self.version = version
         self.share = share
+        self.clock = clock
+        self.services: str | None = None
+        self.merging: Regions | None = None
+        self.empty = 0              # whole lists in a row that would leave nothing
         self.doubted = True         # whether the next call is not to wait
         self.back = 0
         self.wait_ms = 0            # of the call that is out
         self.waits(wait_us)
+        self.wants(services)
         self.restart()
 
     def waits(self, wait_us: int) -> None:
         self.longest_ms = max(AT_ONCE_MS, min(LONGEST_WAIT_MS, wait_us // 1000))
 
+    def wants(self, services: Sequence[str] | None) -> None:
+        """Other services from now on, of which `move` has the whole list asked for."""
+        self.services = None if services is None else ",".join(sorted(set(services)))
+        if services is None:
+            self.merging = None
+        elif self.merging is not None:
+            self.merging.lack()
+        else:
+            from ..distribution.regions import Regions
+            self.merging = Regions()
+
+    @property
+    def regions(self) -> Told:
+        """What the relay has said last: each region's version, and whether it is in touch with its origin."""
+        return self.merging.told if self.merging is not None else {}
+
+    def standing(self) -> tuple[int, int]:
+        """How many regions the relay is in touch with, and how many that are known of it is not."""
+        if self.merging is None:
+            return 0, 0
+        return sum(live for _, live in self.merging.told.values()), self.merging.out()
+
+    def known(self) -> dict[str, Any]:
+        """All that is known, for `inherit` at the process that comes after this one."""
+        known = self.roster.whole(self.version)
+        if self.merging is not None:
+            known["regions"] = dict(self.merging.kept)
+        return known
+
+    def inherit(self, known: Any) -> None:
+        """Before the first call: the versions that the process before this one has taken.
+
+        Guards what it was told last against a relay that is behind.
+        """
+        kept = known.get("regions") if isinstance(known, dict) else None
+        if self.merging is not None and isinstance(kept, dict):
+            self.merging.kept.update((str(region), int(seq)) for region, seq in kept.items())
+
     def restart(self) -> None:
         """A new connection: whatever came on the old one no longer counts."""
         self.parser = ResponseParser(MOST_LIST)
@@ -59,14 +113,19 @@
         self.host = host
         self.version = -1
         self.back = 0
+        if self.merging is not None:
+            self.merging.moved()
 
     def request(self) -> bytes:
         target = "/discovery/hosts"
         self.wait_ms = 0
         if self.version >= 0:
             part = SHORTEST_PART + (1.0 - SHORTEST_PART) * self.share()
-            self.wait_ms = AT_ONCE_MS if self.doubted else max(AT_ONCE_MS, int(self.longest_ms * part))
+            longest = self.longest_ms if self.services is None else min(self.longest_ms, RELAYED_WAIT_MS)
+            self.wait_ms = AT_ONCE_MS if self.doubted else max(AT_ONCE_MS, int(longest * part))
             target += f"?since={self.version}&timeout_ms={self.wait_ms}"
+        if self.services is not None:
+            target += f"{'&' if self.version >= 0 else '?'}services={self.services}"
         return writing.request("GET", target, [("Host", self.host)])
 
     def until_silent(self) -> float:
@@ -82,11 +141,40 @@
             data = orjson.loads(response.body)
         except ValueError as trouble:
             raise BadList(str(trouble)) from trouble
+        if self.merging is not None and isinstance(data, dict) and "regions" in data:
+            return self.merged(self.merging, data)
         update = self.roster.read(data, self.believed)
         self.version = update.version
         self.doubted = False
         return update
 
+    def merged(self, merging: Regions, data: dict[str, Any]) -> Update:
+        """What a relay's answer says, without what is older than what was taken; whole with all the rest."""
+        from ..distribution.regions import understood
+        held = self.roster.lines
+        try:
+            told, whole, version = understood(data["regions"]), bool(data["whole"]), int(data["seq"])
+            judged = merging.judge(self.clock(), told, whole)
+            lines = merging.merge(judged, told, whole, data["hosts"], held)
+        except (KeyError, TypeError, ValueError, AttributeError) as trouble:
+            raise BadList(f"{type(trouble).__name__}: {trouble}") from trouble
+        if not whole and version < self.version or not whole and self.version < 0:
+            raise BadList(f"changes up to {version} after {self.version}")
+        if not judged.taken:
+            lines = []
+        elif whole and held and not lines:
+            # Guards all servers against one empty list; a service that has none left is believed in the end.
+            self.empty += 1
+            if self.empty < MOST_BACK:
+                raise BadList("an empty list")
+        update = self.roster.read({"seq": version, "whole": whole and bool(judged.taken), "hosts": lines})
+        merging.take(told, judged)
+        if lines:
+            self.empty = 0
+        self.version = -1 if judged.again else version
+        self.doubted = False
+        return update
+
     def believed(self, update: Update) -> None:
         """Raises BadList for what would undo the list in force.
 
