Sidecars follow relays where the file names them: keys, dials, waits, log lines

Keys relays and services, taken up again at SIGHUP; a bad value is one line that names the key. The watcher goes by Homes: a drawn wait after each failure in a row, another relay only once it can be dialled, the watch that works kept until then. Told by relay_changed, region_stale, region_back and the figure relay_changes. A process that comes after another takes over the versions of regions with the list.

--- a/pumicepath/commands/sidecar.py
+++ b/pumicepath/commands/sidecar.py
@@ -49,5 +49,8 @@
     if config.peers is not None:
         seeds = ", ".join(config.peers.seeds) or "none"
         click.echo(f"speaks with peers at {config.peers.listen}, seeds: {seeds}")
+    if config.relays:
+        services = "all" if config.services == ("*",) else ", ".join(config.services or ()) or "none"
+        click.echo(f"follows relays: {', '.join(config.relays)}; services: {services}")
     if config.idle_keys:
         click.echo(f"without effect on this platform: {', '.join(config.idle_keys)}")
--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -68,12 +68,12 @@
 
     def wants(self, services: Sequence[str] | None) -> None:
         """Other services from now on, of which `move` has the whole list asked for."""
-        self.services = None if services is None else ",".join(sorted(set(services)))
-        if services is None:
+        before, self.services = self.services, None if services is None else ",".join(sorted(set(services)))
+        if self.services is None:
             self.merging = None
-        elif self.merging is not None:
+        elif self.merging is not None and self.services != before:
             self.merging.lack()
-        else:
+        elif self.merging is None:
             from ..distribution.regions import Regions
             self.merging = Regions()
 
@@ -88,6 +88,14 @@
             return 0, 0
         return sum(live for _, live in self.merging.told.values()), self.merging.out()
 
+    def stale(self) -> dict[str, int]:
+        """The regions known of that the relay is not in touch with, and the version held of each."""
+        if self.merging is None:
+            return {}
+        told, kept = self.merging.told, self.merging.kept
+        return {region: kept.get(region, -1) for region in {**kept, **told}
+                if not told.get(region, (0, False))[1]}
+
     def known(self) -> dict[str, Any]:
         """All that is known, for `inherit` at the process that comes after this one."""
         known = self.roster.whole(self.version)
@@ -100,9 +108,9 @@
 
         Guards what it was told last against a relay that is behind.
         """
-        kept = known.get("regions") if isinstance(known, dict) else None
+        kept = known.get("regions")
         if self.merging is not None and isinstance(kept, dict):
-            self.merging.kept.update((str(region), int(seq)) for region, seq in kept.items())
+            self.merging.kept.update((region, seq) for region, seq in kept.items() if type(seq) is int)
 
     def restart(self) -> None:
         """A new connection: whatever came on the old one no longer counts."""
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import re
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
@@ -20,9 +21,13 @@
 KEPT_BACK = 48              # descriptors for the listener, discovery, files, and clients beyond the bound
 OWN_MB = 24                 # memory before the first connection, with room for the list
 SPARE_PART = 1 / 16         # of the memory for the allocator and what grows
-EXPECTED = ("name", "seed", "limits", "listen", "discovery", "peers")
+EXPECTED = ("name", "seed", "limits", "listen", "discovery", "peers", "relays", "services")
 FEWEST = 8                  # connections, below which nothing can be served
 CONNECTION_KB = 140         # a connection with its thread and full bodies both ways: 132 measured
+MOST_RELAYS = 64
+MOST_SERVICES = 256
+LONGEST_SERVICES = 12_000   # bytes of all names, which have to fit into the head of one request
+SERVICE = re.compile(r"[A-Za-z0-9._-]{1,64}")
 
 
 class BadConfig(Exception):
@@ -48,6 +53,8 @@
     admin: Address | None = None
     keys: frozenset[str] = frozenset()
     peers: PeerSettings | None = None
+    relays: tuple[str, ...] = ()
+    services: tuple[str, ...] | None = None     # to be followed at relays, `("*",)` for all
 
     @property
     def from_clients(self) -> int:
@@ -101,6 +108,46 @@
     return found
 
 
+def relays(told: dict[str, Any]) -> tuple[str, ...]:
+    """The relays that take discovery's place; none where nothing speaks of them."""
+    found = told.get("relays")
+    if found is None:
+        return ()
+    if not isinstance(found, list) or not 0 < len(found) <= MOST_RELAYS:
+        raise ValueError(f"relays: {found!r} is no list of 1 to {MOST_RELAYS} addresses")
+    for at, text in enumerate(found):
+        with named(f"relays[{at}]"):
+            if not isinstance(text, str) or not address(text).port:
+                raise ValueError(f"{text!r} is no address")
+            if text in found[:at]:
+                raise ValueError(f"{text!r} is named twice")
+    if not told.get("name"):
+        # Guards relays against sidecars that all have the same order of them.
+        raise ValueError("name: '' is no name, as sidecars at relays need one each")
+    return tuple(found)
+
+
+def services(told: dict[str, Any]) -> tuple[str, ...] | None:
+    """What is followed at relays."""
+    found = told.get("services")
+    if told.get("relays") is None:
+        if found is not None:
+            raise ValueError("services: there are none without relays")
+        return None
+    if found is None:
+        return ("*",)
+    if not isinstance(found, list) or len(found) > MOST_SERVICES:
+        raise ValueError(f"services: no list of 0 to {MOST_SERVICES} names")
+    for at, name in enumerate(found):
+        if not isinstance(name, str) or not SERVICE.fullmatch(name):
+            raise ValueError(f"services[{at}]: {name!r} is no name of 1 to 64 of A-Z a-z 0-9 . _ -")
+        if name in found[:at]:
+            raise ValueError(f"services[{at}]: {name!r} is named twice")
+    if sum(len(name) + 1 for name in found) > LONGEST_SERVICES:
+        raise ValueError(f"services: longer than {LONGEST_SERVICES} bytes together")
+    return tuple(sorted(found))
+
+
 @contextmanager
 def named(key: str) -> Iterator[None]:
     """What is wrong with the value of a key is told with its name."""
@@ -163,4 +210,6 @@
         admin=second(told),
         keys=present(info) | {key for key in EXPECTED if key in told},
         peers=peers(told),
+        relays=relays(told),
+        services=services(told),
     )
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -12,10 +12,10 @@
 from contextlib import suppress
 from dataclasses import replace
 from time import monotonic, sleep
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from .. import compiled, invariants
-from ..discovery.roster import Address, BadList, Roster, Update
+from ..discovery.roster import Address, BadList, Roster, Update, stable
 from ..discovery.watch import Watch
 from ..interface import Listing
 from ..logic import Chance
@@ -31,6 +31,7 @@
 from .watching import Watcher
 
 if TYPE_CHECKING:
+    from ..distribution.homes import Homes
     from ..fleet.settings import PeerSettings
     from .peers import Peers
 
@@ -59,10 +60,13 @@
     roster = Roster(config.zones, clock.since_unix_ms, config.kinds)
     config = localised(config, roster)
     before = reach(config.listen) if config.admin else None
-    known = first_list(roster, config, before)
-    watch = Watch(roster, f"{config.discovery.host}:{config.discovery.port}", known.version,
-                  2 * config.settings.ask_every, Chance(config.seed).share)
-    watcher = Watcher(watch, config.discovery, config.pushed)
+    known, told = first_list(roster, config, before)
+    homes = following(config)
+    watch = Watch(roster, homes.at if homes else f"{config.discovery.host}:{config.discovery.port}",
+                  -1 if homes or "regions" in told else known.version, 2 * config.settings.ask_every,
+                  Chance(config.seed).share, config.services)
+    watch.inherit(told)
+    watcher = Watcher(watch, config.discovery, config.pushed, homes)
     dispatcher = Dispatcher(config, log, watcher.follow)
     watcher.dispatcher = dispatcher
     try:
@@ -71,7 +75,7 @@
         raise BadConfig(f"cannot listen on {named(config.listen)}: {trouble.strerror}") from trouble
     # By the port that it has, which the file need not name: who comes after may only know that one.
     serving = config.listen._replace(port=clients.listener.getsockname()[1])
-    succession = Succession(dispatcher, clients, lambda: roster.whole(watch.version), serving)
+    succession = Succession(dispatcher, clients, watch.known, serving)
     peers = speaking(config, log, before is not None)
     try:
         operators = Operators(config.admin, dispatcher, clients, succession, peers) if config.admin else None
@@ -89,6 +93,8 @@
         dispatcher.inherit(before.by_hand, before.returned)
         dispatcher.emptied = before.emptied
     dispatcher.listed(Listing.CACHED, known)
+    if config.relays:
+        watcher.follow()
     if config.pushed:
         watcher.follow()
         # Guards servers that drain: what discovery has counts as told from here on; the file's list is old.
@@ -106,7 +112,8 @@
     log.event("started", listen=f"{host}:{port}", operators=operators.where if operators else "",
               servers=len(known.entries), from_clients=config.from_clients, to_servers=config.to_servers,
               checks="asserted" if __debug__ else "counted", form=compiled.FORM,
-              **({"peers": peers.listens} if peers is not None else {}))
+              **({"peers": peers.listens} if peers is not None else {}),
+              **({"relays": len(config.relays)} if config.relays else {}))
     start(clients.run)
     if operators is not None:
         if before is not None:
@@ -130,12 +137,21 @@
         raise BadConfig(f"peers.listen: cannot listen on {where}: {trouble.strerror}") from trouble
 
 
-def first_list(roster: Roster, config: Config, before: Inherited | None) -> Update:
-    """What the process before this one was told last, or what the file knows."""
+def first_list(roster: Roster, config: Config, before: Inherited | None) -> tuple[Update, Any]:
+    """What the process before this one was told last, or what the file knows; read, and as it came."""
     if before is not None:
         with suppress(BadList):
-            return roster.read(before.known)
-    return roster.read(config.known)
+            return roster.read(before.known), before.known
+    return roster.read(config.known), config.known
+
+
+def following(config: Config) -> Homes | None:
+    """The relays in this sidecar's order; what decides on them is not even imported where there are none."""
+    if not config.relays:
+        return None
+    from ..distribution.homes import Homes
+    # Not by the seed alone: guards relays against sidecars that share one, and would wait alike.
+    return Homes(config.name, config.relays, Chance(config.seed ^ stable(config.name)).share)
 
 
 def named(where: Address | None) -> str:
@@ -170,12 +186,20 @@
         config.zones, config.idle, config.dial)
     if changed:
         dispatcher.adopt(replace(new, settings=after))
-    if changed or new.discovery != config.discovery:
+    wait = 2 * min(before.ask_every, after.ask_every)
+    if (new.relays, new.services) != (config.relays, config.services):
+        homes = watcher.homes if new.relays == config.relays else following(new)
+        watcher.move(new.discovery, wait, new.pushed, homes, new.services)
+    elif new.relays:
+        # Waits at relays are short: guards them against all sidecars' asking for all when they are reloaded.
+        watcher.watch.waits(wait)
+    elif changed or new.discovery != config.discovery:
         # Before long the old waits, and what the old discovery told, count for nothing.
-        watcher.move(new.discovery, 2 * min(before.ask_every, after.ask_every), new.pushed)
+        watcher.move(new.discovery, wait, new.pushed)
     dispatcher.loaded += 1
     log.event("reloaded", discovery=f"{new.discovery.host}:{new.discovery.port}", settings=changed,
-              tariffs=list(new.tariffs), without_effect=list(new.idle_keys), needs_restart=waiting)
+              tariffs=list(new.tariffs), without_effect=list(new.idle_keys), needs_restart=waiting,
+              **({"relays": list(new.relays), "services": list(new.services or ())} if new.relays else {}))
     return replace(new, settings=after)
 
 
--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -1,4 +1,4 @@
-"""The thread that keeps the watch on the list."""
+"""The thread that keeps the watch on the list: at discovery, or at the relays that `Homes` names."""
 
 from __future__ import annotations
 
@@ -6,13 +6,18 @@
 import threading
 from contextlib import suppress
 from time import monotonic, sleep
+from typing import TYPE_CHECKING
 
-from ..discovery.roster import NOTHING, Address, BadList
+from ..discovery.roster import NOTHING, Address, BadList, address
 from ..discovery.watch import Overtaxed, Watch
 from ..http1.messages import Malformed, Response
 from ..interface import Listing
+from . import clock
 from .dispatch import Dispatcher
 
+if TYPE_CHECKING:
+    from ..distribution.homes import Homes
+
 DIAL_S = 0.5                # of the 2 s that a silent watch leaves; doubled each time that is not enough
 LONGEST_DIAL_S = 2.0
 WHOLE_S = 1.0               # from an answer's first byte to its last
@@ -21,8 +26,18 @@
 
 
 class Watcher:
-    def __init__(self, watch: Watch, where: Address, pushed: bool = False) -> None:
+    """With `homes` it follows relays, and never calls `where`, which is discovery."""
+
+    def __init__(self, watch: Watch, where: Address, pushed: bool = False,
+                 homes: Homes | None = None) -> None:
         self.watch = watch
+        self.homes = homes
+        self.coming: tuple[Homes | None, tuple[str, ...] | None] = homes, None  # what a move brings
+        self.answering = ""         # the relay that answered last
+        self.heard = 0.0            # when
+        self.trouble = ""           # of the last call that failed
+        self.stale: dict[str, float] = {}       # regions out of touch there, since when
+        self.hurry = threading.Event()          # no waiting for the next dial of a relay
         self.where = where
         self.pushed = pushed        # what discovery has counts as told, whether or not it has been read
         self.asked = threading.Event()  # a first call is over
@@ -38,16 +53,18 @@
     def follow(self) -> None:
         self.wanted.set()
 
-    def move(self, where: Address, wait_us: int, pushed: bool) -> None:
-        """Discovery is elsewhere from now on, or waits are others; the whole list is asked for at once."""
+    def move(self, where: Address, wait_us: int, pushed: bool, homes: Homes | None = None,
+             services: tuple[str, ...] | None = None) -> None:
+        """The list is to be had elsewhere from now on, or waits are others; all is asked for at once."""
         with self.gate:
-            self.where, self.pushed = where, pushed
+            self.where, self.pushed, self.coming = where, pushed, (homes, services)
             self.watch.waits(wait_us)
             self.moved_at = monotonic()
             self.moved = True
             if self.sock is not None:
                 with suppress(OSError):  # already broken, which the thread will find
                     self.sock.shutdown(socket.SHUT_RDWR)
+        self.hurry.set()
         self.wanted.set()
 
     def run(self) -> None:
@@ -63,6 +80,9 @@
         """Ask again: at once, after a step, or when the balancer wants it."""
         self.close()
         self.watch.doubted = True
+        if self.homes is not None and not self.moved:
+            self.elsewhere(self.homes, trouble)
+            return
         if self.moved or monotonic() - self.moved_at < MOVING_S:
             # Guards what has changed meanwhile, which counts as told soon after the move, against a new
             # discovery that is not up yet or breaks the first call off.
@@ -96,19 +116,103 @@
                 self.dispatcher.listed(Listing.FULL if update.whole else Listing.CHANGES, update)
             first = False
             self.asked.set()
+            homes = self.homes
+            if homes is not None:
+                self.heard_of(homes)
             if self.failures > 1:
                 self.dispatcher.events.event("watch_back", failures=self.failures, seq=update.version)
             self.failures = 0
             if not response.keeps():
                 self.close()
+            if homes is not None and homes.answered(clock.now(), *self.watch.standing()):
+                self.change(homes)
+
+    # -- at relays
+
+    def elsewhere(self, homes: Homes, trouble: Exception) -> None:
+        """A relay has failed: the next, after a wait that grows with each failure in a row.
+
+        Guards against a storm: when a relay dies, thousands of sidecars learn of it at one moment.
+        """
+        self.failures += 1
+        self.trouble = f"{type(trouble).__name__}: {trouble}"
+        expected = isinstance(trouble, (OSError, Malformed, BadList))
+        if self.failures == 1 or not expected:
+            self.dispatcher.events.event("watch_failed" if expected else "fault", text=self.trouble,
+                                         relay=homes.at)
+        wait = homes.failed(clock.now())
+        if self.failures > len(homes.order):
+            self.asked.set()
+        self.hurry.wait(wait / 1e6)
+        self.wanted.set()
+
+    def heard_of(self, homes: Homes) -> None:
+        """Say what an answer changes: the relay followed, regions that it is in touch with or not."""
+        now, events = monotonic(), self.dispatcher.events
+        if homes.at != self.answering:
+            why = homes.why or "start"
+            live, out = self.watch.standing()
+            events.event("relay_changed", **{"from": self.answering}, to=homes.at,
+                         why=self.trouble if why == "failed" else why, failures=self.failures,
+                         live=live, out=out, silent_s=round(now - self.heard, 3) if self.answering else 0.0)
+            if self.answering:
+                self.dispatcher.figures.count("relay_changes")
+            self.answering = homes.at
+        self.heard = now
+        out_of_touch = self.watch.stale()
+        for region, seq in out_of_touch.items():
+            if region not in self.stale:
+                self.stale[region] = now
+                events.event("region_stale", region=region, seq=seq, relay=homes.at)
+        for region in [region for region in self.stale if region not in out_of_touch]:
+            since = self.stale.pop(region)
+            events.event("region_back", region=region, relay=homes.at, after_s=round(now - since, 3))
+
+    def change(self, homes: Homes) -> None:
+        """Leave one relay that answers for another, once that can be dialled."""
+        where = address(homes.at)
+        sock = opened(where)
+        try:
+            sock.settimeout(DIAL_S)
+            sock.connect(where)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            sock.close()
+            if homes.before is None:
+                raise
+            # Guards the watch that works against one that can't be had: it goes on, with a call that does
+            # not wait, as it has told nothing during the dial.
+            homes.failed(clock.now())
+            self.watch.doubted = True
+            return
+        with self.gate:
+            old, self.sock = self.sock, sock
+        if old is not None:
+            old.close()
+        if self.moved:
+            raise ConnectionAbortedError("the relays are others")
+        self.watch.move(homes.at)
+        self.watch.restart()
+
+    # -- connections
 
     def connect(self) -> socket.socket:
         with self.gate:
             where = self.where
             if self.moved:
                 self.moved = False
+                self.hurry.clear()
+                self.homes, services = self.coming
+                if self.homes is None:
+                    self.answering = ""
+                    self.stale.clear()
+                self.watch.wants(services)
                 self.watch.move(f"{where.host}:{where.port}")
-            self.sock = sock = socket.socket(socket.AF_INET6 if ":" in where.host else socket.AF_INET)
+            if self.homes is not None:
+                where = address(self.homes.at)
+                if self.watch.host != self.homes.at:
+                    self.watch.move(self.homes.at)
+            self.sock = sock = opened(where)
         sock.settimeout(self.dial)
         # Guards a discovery that always takes long to be reached against being given up each time.
         self.dial = min(LONGEST_DIAL_S, 2 * self.dial)
@@ -152,3 +256,7 @@
             if self.sock is not None:
                 self.sock.close()
                 self.sock = None
+
+
+def opened(where: Address) -> socket.socket:
+    return socket.socket(socket.AF_INET6 if ":" in where.host else socket.AF_INET)
