--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -1,520 +1,461 @@
-"""What a sidecar makes of relays' answers, and how it follows them: nothing older ever comes back."""
+"""Sidecars that follow relays: which one, by when the next, what is asked, and how often."""
 
 from __future__ import annotations
 
 import json
-import random
-from collections import Counter
-from types import SimpleNamespace
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
 from typing import Any
 
 import pytest
 
-from pumicepath.discovery.roster import BadList, Roster, Update
-from pumicepath.discovery.watch import RELAYED_WAIT_MS, Overtaxed, Watch
-from pumicepath.distribution.regions import MOST_REGIONS
+from pumicepath.discovery.roster import Roster, address
+from pumicepath.discovery.watch import Watch
+from pumicepath.distribution import homes as deciding
+from pumicepath.distribution.homes import Homes
+from pumicepath.http1.parsing import RequestParser, ResponseParser
+from pumicepath.lab.loopback.scripted import Deployment, answer, next_of
+from pumicepath.sidecar import config
+from pumicepath.sidecar.watching import Watcher
 
-SECOND = 1_000_000
-
-
-def line(name: str, region: str = "eu", health: str = "active", **changed: Any) -> dict:
-    return {"host": name, "dial": "127.0.0.1:1", "site": "a", "class": "m", "block": 0, "health": health,
-            "share": 1.0, "born_ms": 0, "service": "cart", "region": region, **changed}
-
-
-def told(seq: int, regions: dict[str, tuple[int, bool]], *lines: dict, whole: bool = False) -> Any:
-    named = {region: {"seq": at, "live": live} for region, (at, live) in regions.items()}
-    body = json.dumps({"seq": seq, "whole": whole, "hosts": list(lines), "regions": named})
-    return SimpleNamespace(status=200, body=body.encode())
-
-
-class Clock:
-    def __init__(self) -> None:
-        self.now = 0
-
-    def __call__(self) -> int:
-        return self.now
-
-
-def watching(*services: str, clock: Clock | None = None) -> Watch:
-    return Watch(Roster(["a"], lambda born: 1), "r1:1", -1, 20 * SECOND, services=services or ("*",),
-                 clock=clock or Clock())
-
-
-def phases(watch: Watch) -> dict[str, str]:
-    return {name: one["health"] for name, one in watch.roster.lines.items()}
-
-
-def target(watch: Watch) -> str:
-    return watch.request().split(b" ", 2)[1].decode()
-
-
-# -- what is asked
-
-
-def test_without_services_each_request_is_what_it_was() -> None:
-    for services, added in ((None, ""), (("stock", "cart", "stock"), "services=cart,stock"),
-                            (("*",), "services=*"), ((), "services=")):
-        watch = Watch(Roster(["a"], lambda born: 1), "d", -1, 20 * SECOND, lambda: 1.0, services)
-        question, more = (f"?{added}", f"&{added}") if services is not None else ("", "")
-        head = "GET /discovery/hosts{} HTTP/1.1\r\nHost: d\r\n\r\n"
-        assert watch.request().decode() == head.format(question)
-        watch.version = 41
-        assert watch.request().decode() == head.format(f"?since=41&timeout_ms=1{more}")
-        watch.doubted = False
-        longest = 20_000 if services is None else 3_000
-        assert watch.request().decode() == head.format(f"?since=41&timeout_ms={longest}{more}")
-        assert watch.until_silent() == longest / 1000 + 0.4
-
-
-def test_waits_at_a_relay_are_drawn_from_half_to_all_of_three_seconds_or_of_the_shorter_wait() -> None:
-    shares = iter([0.0, 1.0, 0.5])
-    watch = Watch(Roster([], lambda born: 1), "d", 1, 20 * SECOND, lambda: next(shares), ("*",))
-    watch.doubted = False
-    waits = [watch.request() and watch.wait_ms for _ in range(3)]
-    assert waits == [1500, RELAYED_WAIT_MS, 2250]
-    watch.waits(SECOND)
-    watch.share = lambda: 1.0
-    assert watch.request() and watch.wait_ms == 1000
-
-
-# -- what is made of an answer
-
-
-def test_a_server_that_drains_is_not_brought_back_by_a_relay_that_is_behind() -> None:
-    watch = watching()
-    watch.update(told(10, {"eu": (5, True)}, line("s1"), line("s2"), whole=True))
-    assert target(watch) == "/discovery/hosts?since=10&timeout_ms=3000&services=*"
-    update = watch.update(told(11, {"eu": (6, True)}, line("s1", health="leaving")))
-    assert [(entry.name, entry.phase.name) for entry in update.entries] == [("s1", "DRAINING")]
-    watch.move("r2:1")
-    assert target(watch) == "/discovery/hosts?services=*" and watch.regions == {}
-    update = watch.update(told(900, {"eu": (5, False), "us": (1, True)}, line("s1"), line("u1", "us"),
-                               whole=True))
-    # The part of the other region counts, and with it comes what is held of this one.
-    assert phases(watch) == {"s1": "leaving", "s2": "active", "u1": "active"}
-    assert update.whole and {entry.name: entry.phase.name for entry in update.entries} == {
-        "s1": "DRAINING", "s2": "READY", "u1": "READY"}
-    assert watch.regions == {"eu": (5, False), "us": (1, True)} and watch.standing() == (1, 1)
-    # Nothing of it counts: nothing is said.
-    assert watch.update(told(901, {"eu": (5, False), "us": (0, True)}, line("s1"), whole=True)) == Update(
-        901, False, [], [])
-    # Come as far as what is held, the relay is asked for all, and followed by its changes again.
-    watch.update(told(902, {"eu": (6, True), "us": (1, True)}, line("s1", health="leaving")))
-    assert "since" not in target(watch)
-    watch.update(told(902, {"eu": (6, True), "us": (1, True)}, line("s1", health="leaving"), line("s2"),
-                      line("u1", "us"), whole=True))
-    watch.update(told(903, {"eu": (7, True), "us": (1, True)}, line("s1", health="left")))
-    assert phases(watch) == {"s2": "active", "u1": "active"} and watch.version == 903
-
-
-def test_changes_on_an_older_list_than_the_one_held_are_not_put_to_it() -> None:
-    watch = watching()
-    watch.update(told(10, {"eu": (6, True)}, line("s1"), line("s2"), whole=True))
-    watch.move("r2:1")
-    watch.update(told(20, {"eu": (5, True)}, line("s1"), whole=True))
-    # Where `s2` came at 6 and left at 7, this relay has never known it.
-    assert not watch.update(told(21, {"eu": (7, True)}, line("s1", health="leaving"))).entries
-    assert phases(watch) == {"s1": "active", "s2": "active"} and "since" not in target(watch)
-    watch.update(told(21, {"eu": (7, True)}, line("s1", health="leaving"), whole=True))
-    assert phases(watch) == {"s1": "leaving"}
-
-
-def test_a_whole_list_takes_out_what_it_lacks_of_its_regions_and_nothing_of_others() -> None:
-    watch = watching()
-    watch.roster.read({"seq": 3, "whole": True, "hosts": [line("old"), line("older")]})
-    del watch.roster.lines["old"]["region"], watch.roster.lines["older"]["region"]
-    watch.update(told(10, {"eu": (5, True), "us": (5, True)}, line("s1"), line("s2"), line("u1", "us"),
-                      whole=True))
-    assert set(phases(watch)) == {"s1", "s2", "u1"}, "the list of the start is in force until then"
-    watch.move("r2:1")
-    update = watch.update(told(7, {"eu": (6, True)}, line("s2"), whole=True))
-    assert update.whole and {entry.name for entry in update.entries} == {"s2", "u1"}
-    assert watch.standing() == (1, 1), "a region that the relay has not heard of is not in touch"
-    assert set(watch.roster.starts) == {"s2", "u1"}
-
-
-def test_origins_whose_versions_began_anew_are_believed_of_a_relay_in_touch_after_six_seconds() -> None:
-    for live, gap, expected in ((True, 3, "whole"), (False, 3, "never"), (True, 5, "never")):
-        clock = Clock()
-        watch = watching(clock=clock)
-        watch.update(told(10, {"eu": (500, True)}, line("s1", health="leaving"), line("s2"), whole=True))
-        seen = []
-        for number in range(11, 20):
-            clock.now += gap * SECOND
-            if "since" not in target(watch):
-                seen.append(number)
-                watch.update(told(number, {"eu": (4, live)}, line("s1"), whole=True))
-                assert phases(watch) == {"s1": "active"}
-                break
-            watch.update(told(number, {"eu": (3, live)}, line("s1")))
-            assert phases(watch) == {"s1": "leaving", "s2": "active"}
-        # The third such answer lies 6 s after the first; changes can't be put to the other life's list.
-        assert (seen == [14]) == (expected == "whole") and (seen or expected == "never"), (live, gap, seen)
-
-
-def test_one_answer_between_that_is_not_older_begins_the_six_seconds_anew() -> None:
-    for between in ({"eu": (500, True)}, {"eu": (3, False)}, {"us": (3, True)}):
-        clock = Clock()
-        watch = watching(clock=clock)
-        watch.update(told(10, {"eu": (500, True)}, line("s1", health="leaving"), whole=True))
-        for number in range(7):
-            clock.now += 2 * SECOND
-            regions = between if number == 3 else {"eu": (3, True)}
-            lines = [line("s1", health="leaving" if regions == {"eu": (500, True)} else "active")]
-            watch.update(told(11 + number, regions, *(lines if "eu" in regions else []), whole=True))
-            assert phases(watch) == {"s1": "leaving"}, "6 s are over at the fourth of either half"
-        clock.now += 2 * SECOND
-        watch.update(told(30, {"eu": (3, True)}, line("s1"), whole=True))
-        assert phases(watch) == {"s1": "active"}
-
-
-def test_a_relay_that_knows_only_the_old_life_of_an_origin_brings_nothing_of_it_back() -> None:
-    clock = Clock()
-    watch = watching(clock=clock)
-    watch.update(told(10, {"eu": (500, True)}, line("s1"), whole=True))
-    for number in range(4):
-        clock.now += 3 * SECOND
-        watch.update(told(11 + number, {"eu": (3, True)}, line("s1", health="leaving"), whole=True))
-    assert phases(watch) == {"s1": "leaving"}
-    watch.move("r2:1")
-    assert not watch.update(told(77, {"eu": (500, False)}, line("s1"), whole=True)).entries
-    assert phases(watch) == {"s1": "leaving"}
-    # In touch with the origin again it has to say all: its changes begin at the old life's list.
-    watch.update(told(78, {"eu": (4, True)}, line("s9")))
-    assert phases(watch) == {"s1": "leaving"} and "since" not in target(watch)
-    watch.update(told(79, {"eu": (4, True)}, line("s1", health="leaving"), line("s9"), whole=True))
-    assert phases(watch) == {"s1": "leaving", "s9": "active"}
-    watch.update(told(80, {"eu": (5, False)}, line("s9", health="left")))
-    assert phases(watch) == {"s1": "leaving"}, "what it was told last before it lost touch is of the new life"
-
-
-def test_a_region_that_comes_up_at_a_relay_is_asked_for_whole_where_something_of_it_is_held() -> None:
-    watch = watching()
-    watch.update(told(10, {"eu": (5, True), "us": (5, True)}, line("s1"), line("u1", "us"), whole=True))
-    watch.move("r2:1")
-    watch.update(told(20, {"eu": (5, True)}, line("s1"), whole=True))
-    # What is new to the relay is new in its changes: who has left meanwhile is not among them.
-    watch.update(told(21, {"eu": (5, True), "us": (8, True), "asia": (3, True)}, line("u2", "us"),
-                      line("x1", "asia")))
-    assert set(phases(watch)) == {"s1", "u1", "x1"} and "since" not in target(watch)
-    watch.update(told(22, {"eu": (5, True), "us": (8, True), "asia": (3, True)}, line("s1"), line("u2", "us"),
-                      line("x1", "asia"), whole=True))
-    assert set(phases(watch)) == {"s1", "u2", "x1"}
-
-
-def test_other_services_are_asked_for_whole_until_a_relay_tells_them_as_new_as_what_is_held() -> None:
-    watch = watching("cart")
-    watch.update(told(10, {"eu": (5, True)}, line("s1"), whole=True))
-    watch.wants(("cart", "stock"))
-    watch.move("r1:1")
-    assert target(watch) == "/discovery/hosts?services=cart,stock"
-    watch.update(told(20, {"eu": (4, True)}, line("s1"), line("t1"), whole=True))
-    assert set(phases(watch)) == {"s1"}
-    watch.update(told(21, {"eu": (6, True)}, line("s1", health="leaving")))
-    assert "since" not in target(watch)
-    watch.update(told(22, {"eu": (6, True)}, line("s1", health="leaving"), line("t1"), whole=True))
-    assert phases(watch) == {"s1": "leaving", "t1": "active"}
-
-
-def test_the_process_that_comes_after_this_one_goes_back_to_nothing_either() -> None:
-    watch = watching()
-    watch.update(told(10, {"eu": (5, True)}, line("s1", health="leaving"), whole=True))
-    known = json.loads(json.dumps(watch.known()))
-    after = watching()
-    after.roster.read(known)
-    after.inherit(known)
-    after.update(told(7, {"eu": (4, True)}, line("s1"), whole=True))
-    assert phases(after) == {"s1": "leaving"}
-    plain = Watch(Roster(["a"], lambda born: 1), "d", 5, SECOND)
-    assert plain.known() == {"seq": 5, "whole": True, "hosts": []}
-
-
-def test_a_server_that_goes_over_to_another_region_is_held_once() -> None:
-    watch = watching()
-    both = {"eu": (5, True), "us": (5, True)}
-    watch.update(told(10, both, line("s1"), line("u1", "us"), whole=True))
-    watch.update(told(11, both, line("s1", "us", born_ms=7)))
-    assert watch.roster.lines["s1"]["region"] == "us"
-    watch.update(told(12, both, line("s1", health="left")))
-    assert phases(watch) == {"s1": "active", "u1": "active"}, "it has left the other one"
-    watch.update(told(13, both, line("s1", health="left"), line("s1", "us", "leaving")))
-    watch.update(told(14, both, line("u1", "us"), line("u1", "eu", born_ms=9), whole=True))
-    assert watch.roster.lines["u1"]["region"] == "eu" and set(phases(watch)) == {"u1"}
-
-
-def test_what_is_no_answer_of_a_relay_changes_nothing() -> None:
-    watch = watching()
-    eu = {"eu": (5, True)}
-    watch.update(told(10, eu, line("s1"), whole=True))
-    bad = [
-        told(11, {}, whole=True), told(11, eu, line("s1", "us"), whole=True), told(11, eu, {"host": "s1"}),
-        told(11, eu, line("s1"), line("s1", health="leaving")), told(9, eu, line("s1", health="left")),
-        told(11, {"eu": (-1, True)}), told(11, {"eu": (True, True)}), told(11, {"eu": (5, 1)}),  # type: ignore
-        told(11, {f"r{at}": (1, True) for at in range(MOST_REGIONS + 1)}),
-        told(11, {"eu": (6, True)}, line("s2"), line("s3", dial="nowhere"), whole=True),
-        SimpleNamespace(status=200, body=b'{"seq": 11, "whole": true, "hosts": [], "regions": [1]}'),
-        SimpleNamespace(status=200, body=b"[]"), SimpleNamespace(status=200, body=b"{"),
-    ]
-    for answer in bad:
-        with pytest.raises(BadList):
-            watch.update(answer)
-        assert phases(watch) == {"s1": "active"} and watch.version == 10 and watch.regions == eu
-        assert watch.merging and watch.merging.kept == {"eu": 5}
-    with pytest.raises(Overtaxed):
-        watch.update(SimpleNamespace(status=503, body=b""))
-    # Changes without a whole list to put them to.
-    watch.move("r2:1")
-    with pytest.raises(BadList):
-        watch.update(told(12, eu, line("s2")))
-
-
-def test_an_empty_list_is_believed_only_when_it_comes_again_and_again() -> None:
-    watch = watching()
-    assert not watch.update(told(9, {"eu": (4, True)}, whole=True)).entries, "nothing to lose"
-    watch.update(told(10, {"eu": (5, True)}, line("s1"), whole=True))
-    for number in range(2):
-        with pytest.raises(BadList):
-            watch.update(told(11, {"eu": (6, True)}, whole=True))
-        watch.move(f"r{number}:1")
-    update = watch.update(told(12, {"eu": (6, True)}, whole=True))
-    assert update.whole and not update.entries and not phases(watch)
-
-
-def test_of_a_server_nothing_more_is_kept_than_its_line_and_region() -> None:
-    watch = watching()
-    watch.update(told(10, {"eu": (5, True)}, *[line(f"s{at}") for at in range(100)], whole=True))
-    kept = [one for one in watch.roster.lines.values()]
-    assert all("service" not in one for one in kept)
-    assert len({id(one["region"]) for one in kept}) == 1
-    watch.update(told(11, {"eu": (6, True)}, *[line(f"s{at}", health="left") for at in range(100)]))
-    assert not watch.roster.lines and not watch.roster.starts
-
-
-def test_an_answer_that_names_no_regions_is_treated_as_discoverys() -> None:
-    watch = watching()
-    body = {"seq": 7, "whole": True, "hosts": [{**line("s1"), "region": ""}]}
-    watch.update(SimpleNamespace(status=200, body=json.dumps(body).encode()))
-    assert phases(watch) == {"s1": "active"} and watch.standing() == (0, 0)
-    with pytest.raises(BadList):
-        watch.update(SimpleNamespace(status=200, body=json.dumps({**body, "seq": 6}).encode()))
-
-
-# -- random histories
-
-LAG = 4 * SECOND            # of a relay that says it is in touch
-STATE = frozenset[tuple[str, str, str, int]]
-
-
-class Origin:
-    """A region's discovery: every state of each of its lives."""
-
-    def __init__(self, region: str, chance: random.Random) -> None:
-        self.region, self.chance = region, chance
-        self.life, self.seq, self.changes = 0, chance.randrange(50), 0
-        self.lines: dict[str, dict] = {}
-        self.past: list[tuple[int, int, int, dict[str, dict]]] = []  # since when, life, seq, lines
-        self.states: dict[STATE, list[tuple[int, int]]] = {}
-
-    def change(self, now: int) -> None:
-        name = f"{self.region}{self.chance.randrange(6)}"
-        self.changes += 1
-        if name in self.lines and self.chance.random() < 0.3:
-            del self.lines[name]
-        else:
-            health = self.chance.choice(["active", "leaving"])
-            self.lines[name] = line(name, self.region, health, block=self.changes)
-        self.seq += 1
-        self.note(now)
-
-    def restart(self, now: int) -> None:
-        """Its versions begin anew; its servers are the same."""
-        self.life += 1
-        self.seq = self.chance.randrange(1, 4)
-        self.note(now)
-
-    def note(self, now: int) -> None:
-        self.past.append((now, self.life, self.seq, dict(self.lines)))
-        self.states.setdefault(state(self.lines.values()), []).append((self.life, self.seq))
-
-    def at(self, now: int) -> tuple[int, int, int, dict[str, dict]]:
-        return next((one for one in reversed(self.past) if one[0] <= now), self.past[0])
-
-
-def state(lines: Any) -> STATE:
-    return frozenset((one["host"], one["health"], one["region"], one["block"]) for one in lines)
+from .rig import until
 
 
 class Relay:
-    """What the other side does: a log of changes of its own, each region as of some moment."""
-
-    def __init__(self, origins: list[Origin], chance: random.Random) -> None:
-        self.origins, self.chance = origins, chance
-        self.start(0)
-
-    def start(self, now: int) -> None:
-        self.seq = now * 1000 + self.chance.randrange(1000)
-        self.first = self.seq
-        self.held: dict[str, dict[str, dict]] = {}
-        self.told: dict[str, tuple[int, bool]] = {}
-        self.log: list[tuple[int, dict]] = []
-        self.lag = 0
-        self.as_of: dict[str, int] = {}
-        self.cut: set[str] = set()
-
-    def look(self, now: int) -> None:
-        for origin in self.origins:
-            region = origin.region
-            if region in self.cut:
-                if region in self.told and self.told[region][1]:
-                    self.told[region] = self.told[region][0], False
-                    self.seq += 1
-                continue
-            self.as_of[region] = as_of = max(now - self.lag, self.as_of.get(region, 0))
-            _, life, seq, lines = origin.at(as_of)
-            before = self.held.get(region, {})
-            changed = [one for name, one in lines.items() if before.get(name) != one]
-            changed += [{**one, "health": "left"} for name, one in before.items() if name not in lines]
-            if changed or self.told.get(region) != (seq, True):
-                self.seq += 1
-                self.log += [(self.seq, one) for one in changed]
-            self.held[region], self.told[region] = lines, (seq, True)
-        if len(self.log) > 40:
-            self.first = self.log[20][0]
-            del self.log[:20]
-
-    def answer(self, question: str) -> Any:
-        if not self.told:
-            return SimpleNamespace(status=503, body=b"")
-        since = int(question.partition("since=")[2].partition("&")[0] or -1)
-        if not self.first <= since <= self.seq:
-            lines = [one for held in self.held.values() for one in held.values()]
-            return told(self.seq, self.told, *lines, whole=True)
-        news = {one["host"]: one for seq, one in self.log if seq > since}
-        return told(self.seq, self.told, *news.values())
-
-
-class History:
-    """One sidecar's watch among relays that lag, lose touch, restart and are left: what it holds."""
-
-    def __init__(self, seed: int) -> None:
-        self.chance = chance = random.Random(seed)
-        self.clock = Clock()
-        self.origins = [Origin(region, chance) for region in ("eu", "us", "asia")[:chance.choice((2, 3))]]
-        self.clock.now = 100 * SECOND
-        for origin in self.origins:
-            for _ in range(5):
-                origin.change(0)
-        self.relays = [Relay(self.origins, chance) for _ in range(3)]
-        self.watch = watching(clock=self.clock)
-        self.at = 0
-        self.seen: dict[str, tuple[int, int]] = {}
-        self.counts = Counter[str]()
-
-    def call(self) -> None:
-        relay = self.relays[self.at]
-        held = dict(self.watch.roster.lines)
+    """A stand-in that answers as relays do, for as long as it is to: `state` is serving, busy or silent."""
+
+    def __init__(self, seq: int, *regions: str) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.change = threading.Condition()
+        self.state = "serving"
+        self.seq = self.first = seq
+        self.regions: dict[str, dict] = {}
+        self.lines: dict[str, dict] = {}
+        self.news: list[tuple[int, dict]] = []
+        self.asked: list[tuple[float, str]] = []
+        self.open: set[socket.socket] = set()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                sock = self.listener.accept()[0]
+            except OSError:
+                return
+            self.open.add(sock)
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock: socket.socket) -> None:
+        sock.settimeout(None)
+        parser = RequestParser()
+        try:
+            while (request := next_of(sock, parser)) is not None:
+                with self.change:
+                    self.asked.append((time.monotonic(), request.target))
+                    data = self.answer(request.target)
+                if data:
+                    sock.sendall(data)
+        except OSError:
+            pass
+        self.open.discard(sock)
+        sock.close()
+
+    def answer(self, target: str) -> bytes:
+        given = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
+        since = int(given.get("since", -1))
+        if self.first <= since:
+            wait = int(given["timeout_ms"]) / 1000
+            self.change.wait_for(lambda: self.seq > since or self.state != "serving", wait)
+        if self.state == "silent":
+            return b""
+        if self.state == "busy":
+            return answer(503)
+        whole = not self.first <= since <= self.seq
+        lines = list(self.lines.values()) if whole else [one for seq, one in self.news if seq > since]
+        return answer(200, json.dumps({"seq": self.seq, "whole": whole, "hosts": lines,
+                                       "regions": self.regions}))
+
+    def tell(self, region: str, seq: int, live: bool, *lines: dict) -> Relay:
+        with self.change:
+            self.seq += 1
+            self.regions[region] = {"seq": seq, "live": live}
+            for line in lines:
+                self.lines[line["host"]] = {**line, "region": region, "service": "cart"}
+                self.news.append((self.seq, self.lines[line["host"]]))
+            self.change.notify_all()
+        return self
+
+    def turn(self, state: str) -> None:
+        with self.change:
+            self.state = state
+            self.change.notify_all()
+
+    def kill(self) -> None:
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in list(self.open):
+            sock.shutdown(socket.SHUT_RDWR)
+
+    def taken(self) -> bool:
+        """Whether the newest that it has told has been taken."""
+        return f"since={self.seq}&" in (self.asked[-1][1] if self.asked else "")
+
+
+class Around(Deployment):
+    """One real sidecar, servers that answer whatever comes, and relays in the order that it has of them."""
+
+    def __init__(self, folder: Path, count: int, waits: float = 0.6, servers: int = 2,
+                 **changed: Any) -> None:
+        super().__init__(folder, servers, **changed)
+        relays = {relay.address: relay for relay in (Relay(1000 * (at + 1)) for at in range(count))}
+        order = Homes("n0", list(relays), lambda: 0.5).order
+        self.relays = [relays[at] for at in order]
+        self.told["relays"] = list(relays)
+        if waits:
+            self.told["settings"]["rules"]["askEveryS"] = waits / 2
+        self.write()
+
+    def write(self, **changed: Any) -> None:
+        self.told.update(changed)
+        self.config.write_text(json.dumps(self.told))
+
+    def lines_now(self, *healths: str) -> list[dict]:
+        return [{**line, "health": health}
+                for line, health in zip(self.listing(1, True, "active")["hosts"], healths)]
+
+    def used(self, requests: int) -> set[str]:
+        """Which servers are sent so many requests."""
+        del self.lines[:]
+        for _ in range(requests):
+            self.script.put(answer(200, "fine"))
+            with socket.create_connection(self.where) as sock:
+                self.send("read", sock=sock)
+                response = self.hear(sock, ResponseParser())
+            assert response is not None and response.status == 200
+        return {line.partition(":")[0] for line in self.lines if line.startswith("s-")}
+
+
+def test_a_drain_told_by_one_relay_holds_at_the_next_that_is_behind(tmp_path: Path) -> None:
+    around = Around(tmp_path, 2, waits=20)
+    first, second = around.relays
+    first.tell("eu", 5, True, *around.lines_now("active", "active"))
+    second.tell("eu", 5, False, *around.lines_now("active", "active"))
+    with around.running():
+        until(first.taken)
+        assert around.used(20) == {"s-0", "s-1"}
+        first.tell("eu", 6, True, around.lines_now("leaving")[0])
+        until(first.taken)
+        assert around.used(10) == {"s-1"}
+        # No answer comes any more, while the connection is open: it is left for the next.
+        first.turn("silent")
+        began = time.monotonic()
+        until(second.taken)
+        # A wait of 3 s at most, 0.4 s of silence, a drawn 0.5 s: the bound for slow machines is wide.
+        assert time.monotonic() - began < 15
+        assert around.used(30) == {"s-1"}
+        changed = around.event("relay_changed")
+        assert changed["from"] == "" and changed["why"] == "start"
+        failed, changed = around.event("watch_failed"), around.event("relay_changed")
+        assert failed["relay"] == first.address and "TimeoutError" in changed["why"]
+        assert (changed["from"], changed["to"]) == (first.address, second.address)
+        stale = around.event("region_stale")
+        assert (stale["region"], stale["seq"], stale["relay"]) == ("eu", 6, second.address)
+        # What is newer than the drain is believed of it as of any other.
+        second.tell("eu", 7, True, around.lines_now("active")[0])
+        until(lambda: second.taken() and "s-0" in around.used(10))
+        assert around.event("region_back")["region"] == "eu"
+
+
+def test_silent_and_killed_relays_are_left_for_the_next_and_the_list_goes_on(tmp_path: Path) -> None:
+    around = Around(tmp_path, 3)
+    for relay in around.relays:
+        relay.tell("eu", 5, True, *around.lines_now("active", "active"))
+    first, second, third = around.relays
+    with around.running():
+        until(first.taken)
+        first.turn("silent")
+        until(second.taken)
+        began = time.monotonic()
+        second.kill()
+        until(lambda: third.asked)
+        assert time.monotonic() - began < 10
+        third.tell("eu", 6, True, around.lines_now("leaving")[0])
+        until(third.taken)
+        assert around.used(10) == {"s-1"}
+        assert all("services=*" in target for relay in around.relays for _, target in relay.asked)
+        assert not around.discovery.met.acquire(blocking=False), "discovery is not called at all"
+
+
+def test_relays_that_turn_calls_away_are_called_less_and_less_often(tmp_path: Path) -> None:
+    around = Around(tmp_path, 2)
+    for relay in around.relays:
+        relay.turn("busy")
+        relay.tell("eu", 5, True, *around.lines_now("leaving", "active"))
+    with around.running():
+        asked = [relay.asked for relay in around.relays]
+        until(lambda: asked[0] and asked[1])
+        began = asked[0][0][0]
+        time.sleep(3)
+        calls = sum(when < began + 3 for calls in asked for when, _ in calls)
+        # Between them lie 0 s, 0.5, 1 and 2 s at least: a storm would be hundreds.
+        assert calls <= 4
+        # The list that it has is used on meanwhile.
+        assert around.used(4) <= {"s-0", "s-1"} and around.used(4)
+        for relay in around.relays:
+            relay.turn("serving")
+        until(lambda: any(relay.taken() for relay in around.relays))
+        assert around.used(10) == {"s-1"}
+
+
+def test_relays_and_services_are_taken_up_at_sighup_and_bad_ones_change_nothing(tmp_path: Path) -> None:
+    around = Around(tmp_path, 2, services=["cart"])
+    first, second = around.relays
+    first.tell("eu", 5, True, *around.lines_now("active", "active"))
+    second.tell("eu", 6, True, *around.lines_now("active", "leaving"))
+    around.write(relays=[first.address])
+    with around.running():
+        until(first.taken)
+        assert all(target.endswith("services=cart") for _, target in first.asked)
+
+        def reload(event: str, **changed: Any) -> dict:
+            around.write(**changed)
+            around.process.send_signal(signal.SIGHUP)
+            return around.event(event)
+        assert "relays[0]: 'here'" in reload("reload_failed", relays=["here"])["text"]
+        assert "services[0]" in reload("reload_failed", relays=[first.address], services=["a b"])["text"]
+        del around.told["services"]
+        assert "services is missing" in reload("reload_failed")["text"]
+        calls = len(first.asked)
+        until(lambda: len(first.asked) > calls + 1)
+        assert all("since=" in target for _, target in first.asked[calls:]), "as if nothing had been"
+
+        told = reload("reloaded", services=["stock", "cart"])
+        assert told["services"] == ["cart", "stock"] and told["needs_restart"] == []
+        until(lambda: first.asked[-1][1].endswith("&services=cart,stock"))
+        assert "/discovery/hosts?services=cart,stock" in [target for _, target in first.asked], "all of it"
+        assert reload("reloaded", relays=[second.address])["relays"] == [second.address]
+        until(second.taken)
+        assert around.used(10) == {"s-0"}
+        calls = len(first.asked)
+        reload("reloaded", relays=None, services=None)
+        assert around.discovery.met.acquire(timeout=20) and len(first.asked) == calls
+        assert around.discovery.lines == ["discovery: GET /discovery/hosts"], "versions are others"
+
+
+def test_the_process_that_takes_a_sidecars_place_goes_back_to_nothing(tmp_path: Path) -> None:
+    around = Around(tmp_path, 2, admin_addr="127.0.0.1:0")
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        around.write(listen=f"127.0.0.1:{free.getsockname()[1]}")
+    around.environment = {"TMPDIR": str(tmp_path)}
+    first, second = around.relays
+    first.tell("eu", 6, True, *around.lines_now("leaving", "active"))
+    second.tell("eu", 5, True, *around.lines_now("active", "active"))
+    with around.running():
+        until(first.taken)
+        first.turn("busy")
+        after = around.begun()
         try:
-            update = self.watch.update(relay.answer(target(self.watch)))
-        except BadList:
-            self.counts["refused"] += 1
-            self.move()
-            return
-        # The balancer, which is told only this, has to hold the same.
-        names = {name for name in held if not update.whole} | {entry.name for entry in update.entries}
-        gone = {entry.name for entry in update.entries if entry.phase == 0}
-        assert names - gone == set(self.watch.roster.lines)
-        self.counts["whole" if update.whole else "changes"] += 1
-        self.check()
-
-    def check(self) -> None:
-        for origin in self.origins:
-            lines = state(one for one in self.watch.roster.lines.values() if one["region"] == origin.region)
-            if not lines and origin.region not in self.seen:
-                continue
-            versions = origin.states.get(lines)
-            assert versions, f"{origin.region} never was so: {sorted(lines)}"
-            life, seq = self.seen.get(origin.region, (-1, 0))
-            same = [version for version in versions if version[0] == life]
-            if same and max(same)[1] < seq:
-                same = []
-                assert any(version[0] != life for version in versions), (
-                    f"{origin.region} went back from {life}, {seq} to {versions}")
-            # A state that was twice is taken for the earlier one, so that what follows is judged rightly.
-            later = [version for version in same if version[1] >= seq]
-            other = [version for version in versions if version[0] != life]
-            self.seen[origin.region] = min(later) if later else min(
-                version for version in other if version[0] == max(other)[0])
-
-    def move(self) -> None:
-        self.at = (self.at + 1) % len(self.relays)
-        self.watch.move(f"r{self.at}:1")
-        self.counts["moves"] += 1
-
-    def trouble(self, restarts: bool) -> None:
-        chance, relay = self.chance, self.chance.choice(self.relays)
-        what = chance.choice(("lag", "lag", "cut", "cut", "heal", "move", "relay", "restart"))
-        if what == "lag":
-            relay.lag = chance.randrange(LAG)
-        elif what == "cut":
-            relay.cut.add(chance.choice(self.origins).region)
-        elif what == "heal":
-            relay.cut.clear()
-        elif what == "move":
-            self.move()
-        elif what == "relay":
-            relay.start(self.clock.now)
-            if relay is self.relays[self.at] and chance.random() < 0.5:
-                self.move()
-        elif restarts and chance.random() < 0.3 and self.clock.now > self.calm_until:
-            # All relays come to know of it before it happens again.
-            chance.choice(self.origins).restart(self.clock.now)
-            self.calm_until = self.clock.now + 30 * SECOND
-        self.counts[what] += 1
-
-    def run(self, steps: int, restarts: bool) -> None:
-        self.calm_until = 0
-        for _ in range(steps):
-            self.clock.now += self.chance.randrange(SECOND)
-            if self.chance.random() < 0.5:
-                self.chance.choice(self.origins).change(self.clock.now)
-            if self.chance.random() < 0.2:
-                self.trouble(restarts)
-            for relay in self.relays:
-                if self.chance.random() < 0.5:
-                    relay.look(self.clock.now)
-            if self.chance.random() < 0.5:
-                self.call()
-
-    def heal(self, within: int) -> None:
-        """Everything is in touch: all that is true is held, at one relay or another."""
-        end = self.clock.now + within
-        for relay in self.relays:
-            relay.cut.clear()
-            relay.lag = 0
-        while self.clock.now < end:
-            for relay in self.relays:
-                relay.look(self.clock.now)
-            self.call()
-            self.clock.now += 1_500_000
-        for origin in self.origins:
-            mine = state(one for one in self.watch.roster.lines.values() if one["region"] == origin.region)
-            assert mine == state(origin.lines.values()), origin.region
-
-
-def test_random_histories_never_go_back_and_all_is_in_force_once_they_are_healed() -> None:
-    counts = Counter[str]()
-    for seed in range(100):
-        history = History(seed)
-        history.run(200, restarts=False)
-        history.heal(6 * SECOND)
-        counts += history.counts
-    for what in ("refused", "whole", "changes", "moves", "lag", "cut", "relay"):
-        assert counts[what] > 30, counts
-
-
-def test_random_histories_with_origins_that_begin_anew_end_in_the_truth() -> None:
-    for seed in range(100):
-        history = History(1000 + seed)
-        history.run(200, restarts=True)
-        history.heal(15 * SECOND)
+            around.event("started", after)
+            around.event("succeeding", after)
+            until(lambda: sum("since" not in target for _, target in second.asked) >= 1)
+            until(second.taken)
+            around.process.kill()
+            assert around.used(20) == {"s-1"}
+        finally:
+            after.kill()
+            after.wait()
+
+
+def test_without_relays_nothing_of_them_is_imported_and_the_same_bytes_are_asked(tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 1)
+    asked: list[str] = []
+    listener = socket.create_server(("127.0.0.1", 0))
+    where = f"127.0.0.1:{listener.getsockname()[1]}"
+    around.told["discovery"] = where
+    around.config.write_text(json.dumps(around.told))
+
+    def serve() -> None:
+        sock = listener.accept()[0]
+        for number in range(8, 11):
+            asked.append(sock.recv(65536).decode())
+            sock.sendall(answer(200, json.dumps(around.listing(number, False, "active"))))
+        asked.append(sock.recv(65536).decode())
+        done.set()
+    done = threading.Event()
+    threading.Thread(target=serve, daemon=True).start()
+    with around.running():
+        assert done.wait(20)
+    # As the program of before asked with this seed, recorded.
+    expected = ["since=1&timeout_ms=1", "since=8&timeout_ms=17406", "since=9&timeout_ms=19394",
+                "since=10&timeout_ms=18322"]
+    assert asked == [f"GET /discovery/hosts?{each} HTTP/1.1\r\nHost: {where}\r\n\r\n" for each in expected]
+    code = ("import sys; from pumicepath.sidecar import config, running;"
+            "from pumicepath.discovery.watch import Watch;"
+            f"c = config.read({str(around.config)!r}); Watch(None, '', 1, 1);"
+            "assert running.following(c) is None;"
+            "print([name for name in sys.modules if 'distribution' in name])")
+    ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, env=dict(os.environ))
+    assert ran.stdout == "[]\n", ran.stderr
+
+
+# -- the way home, in the test's own process and time
+
+
+class Heard:
+    """In the dispatcher's place."""
+
+    def __init__(self) -> None:
+        self.events = self.figures = self
+        self.lines: list[str] = []
+
+    def listed(self, kind: Any, update: Any) -> None:
+        if update.entries:
+            self.lines.append(f"{kind.name} {' '.join(entry.name for entry in update.entries)}")
+
+    def event(self, event: str, **figures: Any) -> None:
+        self.lines.append(f"{event} {figures.get('to', '')} {figures.get('why', '')}".strip())
+
+    def count(self, name: str) -> None:
+        self.lines.append(name)
+
+
+@contextmanager
+def followed(*relays: Relay) -> Iterator[tuple[Watcher, list[Relay], Heard]]:
+    homes = Homes("n", [relay.address for relay in relays], lambda: 0.5)
+    by = {relay.address: relay for relay in relays}
+    heard = Heard()
+    watch = Watch(Roster(["a"], lambda born: 1), homes.at, -1, 200_000, services=("*",))
+    watcher = Watcher(watch, address("127.0.0.1:1"), homes=homes)
+    watcher.dispatcher = heard  # type: ignore[assignment]
+    watcher.follow()
+    threading.Thread(target=watcher.run, daemon=True).start()
+    yield watcher, [by[at] for at in homes.order], heard
+    for relay in relays:
+        relay.turn("busy")
+
+
+def line(name: str) -> dict:
+    return {"host": name, "dial": "127.0.0.1:1", "site": "a", "class": "m", "block": 0, "health": "active",
+            "share": 1.0, "born_ms": 0}
+
+
+def test_back_at_the_first_once_it_can_be_dialled_and_no_call_lost_to_one_that_cannot(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(deciding, "HOME_US", 1_000_000)
+    relays = [Relay(1000 * at).tell("eu", 5, True, line("s-1")) for at in (1, 2)]
+    with followed(*relays) as (watcher, (first, second), heard):
+        until(first.taken)
+        host, port = first.address.split(":")
+        first.kill()
+        until(second.taken)
+        # The first is dialled in vain meanwhile: the watch at the second goes on, with no list asked anew.
+        until(lambda: watcher.homes and watcher.homes.home_span > 1_000_000)
+        until(lambda: sum("since" in target for _, target in second.asked) > 5)
+        assert sum("since" not in target for _, target in second.asked) == 1
+        first.listener = socket.create_server((host, int(port)))
+        threading.Thread(target=first.accept, daemon=True).start()
+        calls = len(first.asked)
+        until(lambda: len(first.asked) > calls and first.taken())
+        until(lambda: not second.open)
+        changes = [each for each in heard.lines if each.startswith("relay")]
+        assert changes[0] == f"relay_changed {first.address} start"
+        assert changes[1].startswith(f"relay_changed {second.address} Connection")
+        assert changes[2:] == ["relay_changes", f"relay_changed {first.address} back to the first",
+                               "relay_changes"]
+        assert not any(each.startswith("FAILED") for each in heard.lines)
+
+
+def test_a_first_that_takes_connections_and_says_nothing_is_left_for_the_one_before(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(deciding, "HOME_US", 1_000_000)
+    monkeypatch.setattr("pumicepath.discovery.watch.ANSWER_S", 0.5)
+    relays = [Relay(1000 * at).tell("eu", 5, True, line("s-1")) for at in (1, 2, 3)]
+    with followed(*relays) as (watcher, (first, second, third), heard):
+        until(first.taken)
+        first.turn("silent")
+        until(second.taken)
+        calls = len(first.asked)
+        until(lambda: len(first.asked) > calls)         # tried
+        calls = len(second.asked)
+        until(lambda: len(second.asked) > calls + 2 and second.taken())
+        assert not third.asked, "back to the one that answered, not on to the next"
+
+
+def test_where_a_region_is_out_of_touch_another_relay_is_looked_at_and_kept_if_it_is_better(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(deciding, "LOOK_US", 1_000_000)
+    relays = [Relay(1000 * at).tell("eu", 5, True, line("s-1")).tell("us", 5, True, line("u-1"))
+              for at in (1, 2, 3)]
+    with followed(*relays) as (watcher, (first, second, third), heard):
+        until(first.taken)
+        first.tell("us", 5, False)
+        second.tell("us", 5, False).tell("eu", 5, False)
+        until(lambda: second.asked)                     # looked at, and left at once as it has fewer
+        until(lambda: third.asked and third.taken())
+        calls = len(third.asked)
+        until(lambda: len(third.asked) > calls + 3)
+        assert not first.open and not second.open
+        assert f"relay_changed {third.address} a region is out of touch" in heard.lines
+        assert heard.lines.count("region_stale") <= 4 and "region_back" in heard.lines
+
+
+# -- the keys
+
+
+BAD = [
+    ({"relays": []}, "relays: [] is no list of 1 to 64 addresses"),
+    ({"relays": "127.0.0.1:1"}, "relays: '127.0.0.1:1' is no list of 1 to 64 addresses"),
+    ({"relays": [f"127.0.0.1:{at}" for at in range(1, 66)]}, "relays: ["),
+    ({"relays": ["here"]}, "relays[0]: 'here' is no address"),
+    ({"relays": ["127.0.0.1:1", "127.0.0.1:99999"]}, "relays[1]: '127.0.0.1:99999' is no address"),
+    ({"relays": ["127.0.0.1:0"]}, "relays[0]: '127.0.0.1:0' is no address"),
+    ({"relays": [5]}, "relays[0]: 5 is no address"),
+    ({"relays": ["127.0.0.1:1", "127.0.0.1:1"]}, "relays[1]: '127.0.0.1:1' is named twice"),
+    ({"relays": ["127.0.0.1:1"], "name": ""}, "name: '' is no name"),
+    ({"services": ["cart"]}, "services: there are none without relays"),
+    ({"relays": None, "services": []}, "services: there are none without relays"),
+    ({"relays": ["127.0.0.1:1"], "services": "cart"}, "services: no list of 0 to 256 names"),
+    ({"relays": ["127.0.0.1:1"], "services": [f"s{at}" for at in range(257)]},
+     "services: no list of 0 to 256"),
+    ({"relays": ["127.0.0.1:1"], "services": ["cart", "a,b"]}, "services[1]: 'a,b' is no name"),
+    ({"relays": ["127.0.0.1:1"], "services": ["*"]}, "services[0]: '*' is no name"),
+    ({"relays": ["127.0.0.1:1"], "services": [""]}, "services[0]: '' is no name"),
+    ({"relays": ["127.0.0.1:1"], "services": ["x" * 65]}, "services[0]: 'xxx"),
+    ({"relays": ["127.0.0.1:1"], "services": [3]}, "services[0]: 3 is no name"),
+    ({"relays": ["127.0.0.1:1"], "services": ["a", "a"]}, "services[1]: 'a' is named twice"),
+    ({"relays": ["127.0.0.1:1"], "services": [f"{at:064}" for at in range(200)]},
+     "services: longer than 12000"),
+]
+
+
+@pytest.mark.parametrize("changed, says", BAD)
+def test_keys_that_cannot_be_meant_are_one_line_that_names_the_key(
+        changed: dict, says: str, tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 1, **changed)
+    with pytest.raises(config.BadConfig) as trouble:
+        config.read(str(around.config))
+    text = str(trouble.value)
+    assert text.startswith(f"{around.config}: {says}") and "\n" not in text
+
+
+@pytest.mark.parametrize("command", ["check", "serve"])
+def test_a_bad_key_ends_the_program_with_two_and_a_good_one_is_told(command: str, tmp_path: Path) -> None:
+    around = Deployment(tmp_path, 1, relays=["127.0.0.1:8601", "[::1]:8601"], services=["stock", "cart"])
+    started = [sys.executable, "-m", "pumicepath", command, "--config", str(around.config)]
+    if command == "check":
+        ran = subprocess.run(started, capture_output=True, text=True)
+        assert ran.returncode == 0
+        assert "follows relays: 127.0.0.1:8601, [::1]:8601; services: cart, stock\n" in ran.stdout
+    around.config.write_text(json.dumps({**around.told, "services": ["a b"]}))
+    ran = subprocess.run(started, capture_output=True, text=True, timeout=20)
+    assert ran.returncode == 2 and not ran.stdout
+    assert ran.stderr.count("\n") == 1 and f"{around.config}: services[0]: 'a b' is no name" in ran.stderr
--- /dev/null
+++ b/tests/test_never_back.py
@@ -0,0 +1,520 @@
+"""What a sidecar makes of relays' answers: nothing older ever comes back, whatever histories they have."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections import Counter
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from pumicepath.discovery.roster import BadList, Roster, Update
+from pumicepath.discovery.watch import RELAYED_WAIT_MS, Overtaxed, Watch
+from pumicepath.distribution.regions import MOST_REGIONS
+
+SECOND = 1_000_000
+
+
+def line(name: str, region: str = "eu", health: str = "active", **changed: Any) -> dict:
+    return {"host": name, "dial": "127.0.0.1:1", "site": "a", "class": "m", "block": 0, "health": health,
+            "share": 1.0, "born_ms": 0, "service": "cart", "region": region, **changed}
+
+
+def told(seq: int, regions: dict[str, tuple[int, bool]], *lines: dict, whole: bool = False) -> Any:
+    named = {region: {"seq": at, "live": live} for region, (at, live) in regions.items()}
+    body = json.dumps({"seq": seq, "whole": whole, "hosts": list(lines), "regions": named})
+    return SimpleNamespace(status=200, body=body.encode())
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 0
+
+    def __call__(self) -> int:
+        return self.now
+
+
+def watching(*services: str, clock: Clock | None = None) -> Watch:
+    return Watch(Roster(["a"], lambda born: 1), "r1:1", -1, 20 * SECOND, services=services or ("*",),
+                 clock=clock or Clock())
+
+
+def phases(watch: Watch) -> dict[str, str]:
+    return {name: one["health"] for name, one in watch.roster.lines.items()}
+
+
+def target(watch: Watch) -> str:
+    return watch.request().split(b" ", 2)[1].decode()
+
+
+# -- what is asked
+
+
+def test_without_services_each_request_is_what_it_was() -> None:
+    for services, added in ((None, ""), (("stock", "cart", "stock"), "services=cart,stock"),
+                            (("*",), "services=*"), ((), "services=")):
+        watch = Watch(Roster(["a"], lambda born: 1), "d", -1, 20 * SECOND, lambda: 1.0, services)
+        question, more = (f"?{added}", f"&{added}") if services is not None else ("", "")
+        head = "GET /discovery/hosts{} HTTP/1.1\r\nHost: d\r\n\r\n"
+        assert watch.request().decode() == head.format(question)
+        watch.version = 41
+        assert watch.request().decode() == head.format(f"?since=41&timeout_ms=1{more}")
+        watch.doubted = False
+        longest = 20_000 if services is None else 3_000
+        assert watch.request().decode() == head.format(f"?since=41&timeout_ms={longest}{more}")
+        assert watch.until_silent() == longest / 1000 + 0.4
+
+
+def test_waits_at_a_relay_are_drawn_from_half_to_all_of_three_seconds_or_of_the_shorter_wait() -> None:
+    shares = iter([0.0, 1.0, 0.5])
+    watch = Watch(Roster([], lambda born: 1), "d", 1, 20 * SECOND, lambda: next(shares), ("*",))
+    watch.doubted = False
+    waits = [watch.request() and watch.wait_ms for _ in range(3)]
+    assert waits == [1500, RELAYED_WAIT_MS, 2250]
+    watch.waits(SECOND)
+    watch.share = lambda: 1.0
+    assert watch.request() and watch.wait_ms == 1000
+
+
+# -- what is made of an answer
+
+
+def test_a_server_that_drains_is_not_brought_back_by_a_relay_that_is_behind() -> None:
+    watch = watching()
+    watch.update(told(10, {"eu": (5, True)}, line("s1"), line("s2"), whole=True))
+    assert target(watch) == "/discovery/hosts?since=10&timeout_ms=3000&services=*"
+    update = watch.update(told(11, {"eu": (6, True)}, line("s1", health="leaving")))
+    assert [(entry.name, entry.phase.name) for entry in update.entries] == [("s1", "DRAINING")]
+    watch.move("r2:1")
+    assert target(watch) == "/discovery/hosts?services=*" and watch.regions == {}
+    update = watch.update(told(900, {"eu": (5, False), "us": (1, True)}, line("s1"), line("u1", "us"),
+                               whole=True))
+    # The part of the other region counts, and with it comes what is held of this one.
+    assert phases(watch) == {"s1": "leaving", "s2": "active", "u1": "active"}
+    assert update.whole and {entry.name: entry.phase.name for entry in update.entries} == {
+        "s1": "DRAINING", "s2": "READY", "u1": "READY"}
+    assert watch.regions == {"eu": (5, False), "us": (1, True)} and watch.standing() == (1, 1)
+    # Nothing of it counts: nothing is said.
+    assert watch.update(told(901, {"eu": (5, False), "us": (0, True)}, line("s1"), whole=True)) == Update(
+        901, False, [], [])
+    # Come as far as what is held, the relay is asked for all, and followed by its changes again.
+    watch.update(told(902, {"eu": (6, True), "us": (1, True)}, line("s1", health="leaving")))
+    assert "since" not in target(watch)
+    watch.update(told(902, {"eu": (6, True), "us": (1, True)}, line("s1", health="leaving"), line("s2"),
+                      line("u1", "us"), whole=True))
+    watch.update(told(903, {"eu": (7, True), "us": (1, True)}, line("s1", health="left")))
+    assert phases(watch) == {"s2": "active", "u1": "active"} and watch.version == 903
+
+
+def test_changes_on_an_older_list_than_the_one_held_are_not_put_to_it() -> None:
+    watch = watching()
+    watch.update(told(10, {"eu": (6, True)}, line("s1"), line("s2"), whole=True))
+    watch.move("r2:1")
+    watch.update(told(20, {"eu": (5, True)}, line("s1"), whole=True))
+    # Where `s2` came at 6 and left at 7, this relay has never known it.
+    assert not watch.update(told(21, {"eu": (7, True)}, line("s1", health="leaving"))).entries
+    assert phases(watch) == {"s1": "active", "s2": "active"} and "since" not in target(watch)
+    watch.update(told(21, {"eu": (7, True)}, line("s1", health="leaving"), whole=True))
+    assert phases(watch) == {"s1": "leaving"}
+
+
+def test_a_whole_list_takes_out_what_it_lacks_of_its_regions_and_nothing_of_others() -> None:
+    watch = watching()
+    watch.roster.read({"seq": 3, "whole": True, "hosts": [line("old"), line("older")]})
+    del watch.roster.lines["old"]["region"], watch.roster.lines["older"]["region"]
+    watch.update(told(10, {"eu": (5, True), "us": (5, True)}, line("s1"), line("s2"), line("u1", "us"),
+                      whole=True))
+    assert set(phases(watch)) == {"s1", "s2", "u1"}, "the list of the start is in force until then"
+    watch.move("r2:1")
+    update = watch.update(told(7, {"eu": (6, True)}, line("s2"), whole=True))
+    assert update.whole and {entry.name for entry in update.entries} == {"s2", "u1"}
+    assert watch.standing() == (1, 1), "a region that the relay has not heard of is not in touch"
+    assert set(watch.roster.starts) == {"s2", "u1"}
+
+
+def test_origins_whose_versions_began_anew_are_believed_of_a_relay_in_touch_after_six_seconds() -> None:
+    for live, gap, expected in ((True, 3, "whole"), (False, 3, "never"), (True, 5, "never")):
+        clock = Clock()
+        watch = watching(clock=clock)
+        watch.update(told(10, {"eu": (500, True)}, line("s1", health="leaving"), line("s2"), whole=True))
+        seen = []
+        for number in range(11, 20):
+            clock.now += gap * SECOND
+            if "since" not in target(watch):
+                seen.append(number)
+                watch.update(told(number, {"eu": (4, live)}, line("s1"), whole=True))
+                assert phases(watch) == {"s1": "active"}
+                break
+            watch.update(told(number, {"eu": (3, live)}, line("s1")))
+            assert phases(watch) == {"s1": "leaving", "s2": "active"}
+        # The third such answer lies 6 s after the first; changes can't be put to the other life's list.
+        assert (seen == [14]) == (expected == "whole") and (seen or expected == "never"), (live, gap, seen)
+
+
+def test_one_answer_between_that_is_not_older_begins_the_six_seconds_anew() -> None:
+    for between in ({"eu": (500, True)}, {"eu": (3, False)}, {"us": (3, True)}):
+        clock = Clock()
+        watch = watching(clock=clock)
+        watch.update(told(10, {"eu": (500, True)}, line("s1", health="leaving"), whole=True))
+        for number in range(7):
+            clock.now += 2 * SECOND
+            regions = between if number == 3 else {"eu": (3, True)}
+            lines = [line("s1", health="leaving" if regions == {"eu": (500, True)} else "active")]
+            watch.update(told(11 + number, regions, *(lines if "eu" in regions else []), whole=True))
+            assert phases(watch) == {"s1": "leaving"}, "6 s are over at the fourth of either half"
+        clock.now += 2 * SECOND
+        watch.update(told(30, {"eu": (3, True)}, line("s1"), whole=True))
+        assert phases(watch) == {"s1": "active"}
+
+
+def test_a_relay_that_knows_only_the_old_life_of_an_origin_brings_nothing_of_it_back() -> None:
+    clock = Clock()
+    watch = watching(clock=clock)
+    watch.update(told(10, {"eu": (500, True)}, line("s1"), whole=True))
+    for number in range(4):
+        clock.now += 3 * SECOND
+        watch.update(told(11 + number, {"eu": (3, True)}, line("s1", health="leaving"), whole=True))
+    assert phases(watch) == {"s1": "leaving"}
+    watch.move("r2:1")
+    assert not watch.update(told(77, {"eu": (500, False)}, line("s1"), whole=True)).entries
+    assert phases(watch) == {"s1": "leaving"}
+    # In touch with the origin again it has to say all: its changes begin at the old life's list.
+    watch.update(told(78, {"eu": (4, True)}, line("s9")))
+    assert phases(watch) == {"s1": "leaving"} and "since" not in target(watch)
+    watch.update(told(79, {"eu": (4, True)}, line("s1", health="leaving"), line("s9"), whole=True))
+    assert phases(watch) == {"s1": "leaving", "s9": "active"}
+    watch.update(told(80, {"eu": (5, False)}, line("s9", health="left")))
+    assert phases(watch) == {"s1": "leaving"}, "what it was told last before it lost touch is of the new life"
+
+
+def test_a_region_that_comes_up_at_a_relay_is_asked_for_whole_where_something_of_it_is_held() -> None:
+    watch = watching()
+    watch.update(told(10, {"eu": (5, True), "us": (5, True)}, line("s1"), line("u1", "us"), whole=True))
+    watch.move("r2:1")
+    watch.update(told(20, {"eu": (5, True)}, line("s1"), whole=True))
+    # What is new to the relay is new in its changes: who has left meanwhile is not among them.
+    watch.update(told(21, {"eu": (5, True), "us": (8, True), "asia": (3, True)}, line("u2", "us"),
+                      line("x1", "asia")))
+    assert set(phases(watch)) == {"s1", "u1", "x1"} and "since" not in target(watch)
+    watch.update(told(22, {"eu": (5, True), "us": (8, True), "asia": (3, True)}, line("s1"), line("u2", "us"),
+                      line("x1", "asia"), whole=True))
+    assert set(phases(watch)) == {"s1", "u2", "x1"}
+
+
+def test_other_services_are_asked_for_whole_until_a_relay_tells_them_as_new_as_what_is_held() -> None:
+    watch = watching("cart")
+    watch.update(told(10, {"eu": (5, True)}, line("s1"), whole=True))
+    watch.wants(("cart", "stock"))
+    watch.move("r1:1")
+    assert target(watch) == "/discovery/hosts?services=cart,stock"
+    watch.update(told(20, {"eu": (4, True)}, line("s1"), line("t1"), whole=True))
+    assert set(phases(watch)) == {"s1"}
+    watch.update(told(21, {"eu": (6, True)}, line("s1", health="leaving")))
+    assert "since" not in target(watch)
+    watch.update(told(22, {"eu": (6, True)}, line("s1", health="leaving"), line("t1"), whole=True))
+    assert phases(watch) == {"s1": "leaving", "t1": "active"}
+
+
+def test_the_process_that_comes_after_this_one_goes_back_to_nothing_either() -> None:
+    watch = watching()
+    watch.update(told(10, {"eu": (5, True)}, line("s1", health="leaving"), whole=True))
+    known = json.loads(json.dumps(watch.known()))
+    after = watching()
+    after.roster.read(known)
+    after.inherit(known)
+    after.update(told(7, {"eu": (4, True)}, line("s1"), whole=True))
+    assert phases(after) == {"s1": "leaving"}
+    plain = Watch(Roster(["a"], lambda born: 1), "d", 5, SECOND)
+    assert plain.known() == {"seq": 5, "whole": True, "hosts": []}
+
+
+def test_a_server_that_goes_over_to_another_region_is_held_once() -> None:
+    watch = watching()
+    both = {"eu": (5, True), "us": (5, True)}
+    watch.update(told(10, both, line("s1"), line("u1", "us"), whole=True))
+    watch.update(told(11, both, line("s1", "us", born_ms=7)))
+    assert watch.roster.lines["s1"]["region"] == "us"
+    watch.update(told(12, both, line("s1", health="left")))
+    assert phases(watch) == {"s1": "active", "u1": "active"}, "it has left the other one"
+    watch.update(told(13, both, line("s1", health="left"), line("s1", "us", "leaving")))
+    watch.update(told(14, both, line("u1", "us"), line("u1", "eu", born_ms=9), whole=True))
+    assert watch.roster.lines["u1"]["region"] == "eu" and set(phases(watch)) == {"u1"}
+
+
+def test_what_is_no_answer_of_a_relay_changes_nothing() -> None:
+    watch = watching()
+    eu = {"eu": (5, True)}
+    watch.update(told(10, eu, line("s1"), whole=True))
+    bad = [
+        told(11, {}, whole=True), told(11, eu, line("s1", "us"), whole=True), told(11, eu, {"host": "s1"}),
+        told(11, eu, line("s1"), line("s1", health="leaving")), told(9, eu, line("s1", health="left")),
+        told(11, {"eu": (-1, True)}), told(11, {"eu": (True, True)}), told(11, {"eu": (5, 1)}),  # type: ignore
+        told(11, {f"r{at}": (1, True) for at in range(MOST_REGIONS + 1)}),
+        told(11, {"eu": (6, True)}, line("s2"), line("s3", dial="nowhere"), whole=True),
+        SimpleNamespace(status=200, body=b'{"seq": 11, "whole": true, "hosts": [], "regions": [1]}'),
+        SimpleNamespace(status=200, body=b"[]"), SimpleNamespace(status=200, body=b"{"),
+    ]
+    for answer in bad:
+        with pytest.raises(BadList):
+            watch.update(answer)
+        assert phases(watch) == {"s1": "active"} and watch.version == 10 and watch.regions == eu
+        assert watch.merging and watch.merging.kept == {"eu": 5}
+    with pytest.raises(Overtaxed):
+        watch.update(SimpleNamespace(status=503, body=b""))
+    # Changes without a whole list to put them to.
+    watch.move("r2:1")
+    with pytest.raises(BadList):
+        watch.update(told(12, eu, line("s2")))
+
+
+def test_an_empty_list_is_believed_only_when_it_comes_again_and_again() -> None:
+    watch = watching()
+    assert not watch.update(told(9, {"eu": (4, True)}, whole=True)).entries, "nothing to lose"
+    watch.update(told(10, {"eu": (5, True)}, line("s1"), whole=True))
+    for number in range(2):
+        with pytest.raises(BadList):
+            watch.update(told(11, {"eu": (6, True)}, whole=True))
+        watch.move(f"r{number}:1")
+    update = watch.update(told(12, {"eu": (6, True)}, whole=True))
+    assert update.whole and not update.entries and not phases(watch)
+
+
+def test_of_a_server_nothing_more_is_kept_than_its_line_and_region() -> None:
+    watch = watching()
+    watch.update(told(10, {"eu": (5, True)}, *[line(f"s{at}") for at in range(100)], whole=True))
+    kept = [one for one in watch.roster.lines.values()]
+    assert all("service" not in one for one in kept)
+    assert len({id(one["region"]) for one in kept}) == 1
+    watch.update(told(11, {"eu": (6, True)}, *[line(f"s{at}", health="left") for at in range(100)]))
+    assert not watch.roster.lines and not watch.roster.starts
+
+
+def test_an_answer_that_names_no_regions_is_treated_as_discoverys() -> None:
+    watch = watching()
+    body = {"seq": 7, "whole": True, "hosts": [{**line("s1"), "region": ""}]}
+    watch.update(SimpleNamespace(status=200, body=json.dumps(body).encode()))
+    assert phases(watch) == {"s1": "active"} and watch.standing() == (0, 0)
+    with pytest.raises(BadList):
+        watch.update(SimpleNamespace(status=200, body=json.dumps({**body, "seq": 6}).encode()))
+
+
+# -- random histories
+
+LAG = 4 * SECOND            # of a relay that says it is in touch
+STATE = frozenset[tuple[str, str, str, int]]
+
+
+class Origin:
+    """A region's discovery: every state of each of its lives."""
+
+    def __init__(self, region: str, chance: random.Random) -> None:
+        self.region, self.chance = region, chance
+        self.life, self.seq, self.changes = 0, chance.randrange(50), 0
+        self.lines: dict[str, dict] = {}
+        self.past: list[tuple[int, int, int, dict[str, dict]]] = []  # since when, life, seq, lines
+        self.states: dict[STATE, list[tuple[int, int]]] = {}
+
+    def change(self, now: int) -> None:
+        name = f"{self.region}{self.chance.randrange(6)}"
+        self.changes += 1
+        if name in self.lines and self.chance.random() < 0.3:
+            del self.lines[name]
+        else:
+            health = self.chance.choice(["active", "leaving"])
+            self.lines[name] = line(name, self.region, health, block=self.changes)
+        self.seq += 1
+        self.note(now)
+
+    def restart(self, now: int) -> None:
+        """Its versions begin anew; its servers are the same."""
+        self.life += 1
+        self.seq = self.chance.randrange(1, 4)
+        self.note(now)
+
+    def note(self, now: int) -> None:
+        self.past.append((now, self.life, self.seq, dict(self.lines)))
+        self.states.setdefault(state(self.lines.values()), []).append((self.life, self.seq))
+
+    def at(self, now: int) -> tuple[int, int, int, dict[str, dict]]:
+        return next((one for one in reversed(self.past) if one[0] <= now), self.past[0])
+
+
+def state(lines: Any) -> STATE:
+    return frozenset((one["host"], one["health"], one["region"], one["block"]) for one in lines)
+
+
+class Relay:
+    """What the other side does: a log of changes of its own, each region as of some moment."""
+
+    def __init__(self, origins: list[Origin], chance: random.Random) -> None:
+        self.origins, self.chance = origins, chance
+        self.start(0)
+
+    def start(self, now: int) -> None:
+        self.seq = now * 1000 + self.chance.randrange(1000)
+        self.first = self.seq
+        self.held: dict[str, dict[str, dict]] = {}
+        self.told: dict[str, tuple[int, bool]] = {}
+        self.log: list[tuple[int, dict]] = []
+        self.lag = 0
+        self.as_of: dict[str, int] = {}
+        self.cut: set[str] = set()
+
+    def look(self, now: int) -> None:
+        for origin in self.origins:
+            region = origin.region
+            if region in self.cut:
+                if region in self.told and self.told[region][1]:
+                    self.told[region] = self.told[region][0], False
+                    self.seq += 1
+                continue
+            self.as_of[region] = as_of = max(now - self.lag, self.as_of.get(region, 0))
+            _, life, seq, lines = origin.at(as_of)
+            before = self.held.get(region, {})
+            changed = [one for name, one in lines.items() if before.get(name) != one]
+            changed += [{**one, "health": "left"} for name, one in before.items() if name not in lines]
+            if changed or self.told.get(region) != (seq, True):
+                self.seq += 1
+                self.log += [(self.seq, one) for one in changed]
+            self.held[region], self.told[region] = lines, (seq, True)
+        if len(self.log) > 40:
+            self.first = self.log[20][0]
+            del self.log[:20]
+
+    def answer(self, question: str) -> Any:
+        if not self.told:
+            return SimpleNamespace(status=503, body=b"")
+        since = int(question.partition("since=")[2].partition("&")[0] or -1)
+        if not self.first <= since <= self.seq:
+            lines = [one for held in self.held.values() for one in held.values()]
+            return told(self.seq, self.told, *lines, whole=True)
+        news = {one["host"]: one for seq, one in self.log if seq > since}
+        return told(self.seq, self.told, *news.values())
+
+
+class History:
+    """One sidecar's watch among relays that lag, lose touch, restart and are left: what it holds."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance = chance = random.Random(seed)
+        self.clock = Clock()
+        self.origins = [Origin(region, chance) for region in ("eu", "us", "asia")[:chance.choice((2, 3))]]
+        self.clock.now = 100 * SECOND
+        for origin in self.origins:
+            for _ in range(5):
+                origin.change(0)
+        self.relays = [Relay(self.origins, chance) for _ in range(3)]
+        self.watch = watching(clock=self.clock)
+        self.at = 0
+        self.seen: dict[str, tuple[int, int]] = {}
+        self.counts = Counter[str]()
+
+    def call(self) -> None:
+        relay = self.relays[self.at]
+        held = dict(self.watch.roster.lines)
+        try:
+            update = self.watch.update(relay.answer(target(self.watch)))
+        except BadList:
+            self.counts["refused"] += 1
+            self.move()
+            return
+        # The balancer, which is told only this, has to hold the same.
+        names = {name for name in held if not update.whole} | {entry.name for entry in update.entries}
+        gone = {entry.name for entry in update.entries if entry.phase == 0}
+        assert names - gone == set(self.watch.roster.lines)
+        self.counts["whole" if update.whole else "changes"] += 1
+        self.check()
+
+    def check(self) -> None:
+        for origin in self.origins:
+            lines = state(one for one in self.watch.roster.lines.values() if one["region"] == origin.region)
+            if not lines and origin.region not in self.seen:
+                continue
+            versions = origin.states.get(lines)
+            assert versions, f"{origin.region} never was so: {sorted(lines)}"
+            life, seq = self.seen.get(origin.region, (-1, 0))
+            same = [version for version in versions if version[0] == life]
+            if same and max(same)[1] < seq:
+                same = []
+                assert any(version[0] != life for version in versions), (
+                    f"{origin.region} went back from {life}, {seq} to {versions}")
+            # A state that was twice is taken for the earlier one, so that what follows is judged rightly.
+            later = [version for version in same if version[1] >= seq]
+            other = [version for version in versions if version[0] != life]
+            self.seen[origin.region] = min(later) if later else min(
+                version for version in other if version[0] == max(other)[0])
+
+    def move(self) -> None:
+        self.at = (self.at + 1) % len(self.relays)
+        self.watch.move(f"r{self.at}:1")
+        self.counts["moves"] += 1
+
+    def trouble(self, restarts: bool) -> None:
+        chance, relay = self.chance, self.chance.choice(self.relays)
+        what = chance.choice(("lag", "lag", "cut", "cut", "heal", "move", "relay", "restart"))
+        if what == "lag":
+            relay.lag = chance.randrange(LAG)
+        elif what == "cut":
+            relay.cut.add(chance.choice(self.origins).region)
+        elif what == "heal":
+            relay.cut.clear()
+        elif what == "move":
+            self.move()
+        elif what == "relay":
+            relay.start(self.clock.now)
+            if relay is self.relays[self.at] and chance.random() < 0.5:
+                self.move()
+        elif restarts and chance.random() < 0.3 and self.clock.now > self.calm_until:
+            # All relays come to know of it before it happens again.
+            chance.choice(self.origins).restart(self.clock.now)
+            self.calm_until = self.clock.now + 30 * SECOND
+        self.counts[what] += 1
+
+    def run(self, steps: int, restarts: bool) -> None:
+        self.calm_until = 0
+        for _ in range(steps):
+            self.clock.now += self.chance.randrange(SECOND)
+            if self.chance.random() < 0.5:
+                self.chance.choice(self.origins).change(self.clock.now)
+            if self.chance.random() < 0.2:
+                self.trouble(restarts)
+            for relay in self.relays:
+                if self.chance.random() < 0.5:
+                    relay.look(self.clock.now)
+            if self.chance.random() < 0.5:
+                self.call()
+
+    def heal(self, within: int) -> None:
+        """Everything is in touch: all that is true is held, at one relay or another."""
+        end = self.clock.now + within
+        for relay in self.relays:
+            relay.cut.clear()
+            relay.lag = 0
+        while self.clock.now < end:
+            for relay in self.relays:
+                relay.look(self.clock.now)
+            self.call()
+            self.clock.now += 1_500_000
+        for origin in self.origins:
+            mine = state(one for one in self.watch.roster.lines.values() if one["region"] == origin.region)
+            assert mine == state(origin.lines.values()), origin.region
+
+
+def test_random_histories_never_go_back_and_all_is_in_force_once_they_are_healed() -> None:
+    counts = Counter[str]()
+    for seed in range(100):
+        history = History(seed)
+        history.run(200, restarts=False)
+        history.heal(6 * SECOND)
+        counts += history.counts
+    for what in ("refused", "whole", "changes", "moves", "lag", "cut", "relay"):
+        assert counts[what] > 30, counts
+
+
+def test_random_histories_with_origins_that_begin_anew_end_in_the_truth() -> None:
+    for seed in range(100):
+        history = History(1000 + seed)
+        history.run(200, restarts=True)
+        history.heal(15 * SECOND)
