What is owed of the list at relays, as a sum; a round of relays that are not there is quick

Relays lost together, as with a zone, cost a follower up to 3.5 s for three that can't be dialled, and more than the 6 s for four: by the doubled waits.

--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -67,12 +67,10 @@
         self.longest_ms = max(AT_ONCE_MS, min(LONGEST_WAIT_MS, wait_us // 1000))
 
     def wants(self, services: Sequence[str] | None) -> None:
-        """Other services from now on, of which `move` has the whole list asked for."""
-        before, self.services = self.services, None if services is None else ",".join(sorted(set(services)))
-        if self.services is None:
+        """Other services; followed by `move`, as what is held may lack lines of them."""
+        self.services = None if services is None else ",".join(sorted(set(services)))
+        if services is None:
             self.merging = None
-        elif self.merging is not None and self.services != before:
-            self.merging.lack()
         elif self.merging is None:
             from ..distribution.regions import Regions
             self.merging = Regions()
--- a/pumicepath/distribution/homes.py
+++ b/pumicepath/distribution/homes.py
@@ -39,7 +39,8 @@
         self.order = sorted(set(relays), key=lambda relay: (-weight(relay, name), relay))
         self.share = share
         self.place = 0
-        self.failures = 0           # in a row
+        self.failures = 0           # in a row, by relays that are there
+        self.absent = 0             # in a row, by such as can't be dialled
         self.why = ""               # of the last change of `at`
         self.before: tuple[int, int] | None = None  # while another is tried: the place left, its live regions
         self.home_at = 0            # when the first is tried again; 0: it is the one followed
@@ -53,15 +54,23 @@
     def at(self) -> str:
         return self.order[self.place]
 
-    def failed(self, now: int) -> int:
-        """A call or dial to `at` failed: the microseconds to wait before `at`, now another, is dialled."""
+    def failed(self, now: int, absent: bool = False) -> int:
+        """A call to `at` failed: the microseconds to wait before `at`, now another, is dialled.
+
+        `absent`: it could not even be dialled.
+        """
         self.look_at, self.well_since = 0, -1
         if self.before is not None:
             # Only tried, beside one that answers: that is the one to go back to, and no failure of it.
             self.turn_back(now, "tried in vain")
             return 0
-        self.failures += 1
         self.go(now, (self.place + 1) % len(self.order), "failed")
+        if absent and 0 < self.failures + self.absent < len(self.order):
+            # Guards what has changed meanwhile against a part of the relays that are lost together: those
+            # that are not there cost the others nothing, so one round of them is quick.
+            self.absent += 1
+            return self.drawn(FIRST_US)
+        self.failures += 1
         if self.failures == 1:
             return int(FIRST_US * self.share())
         # Guards relays that come back against all sidecars at once, and this sidecar's core.
@@ -72,7 +81,7 @@
 
         True: `at` is another from now on, to be dialled at once.
         """
-        self.failures = 0
+        self.failures = self.absent = 0
         if self.before is not None:
             if live < self.before[1]:
                 self.turn_back(now, "fewer regions in touch")
--- a/pumicepath/distribution/regions.py
+++ b/pumicepath/distribution/regions.py
@@ -64,14 +64,9 @@
     def moved(self) -> None:
         """Another relay from now on: what the one before said of itself is void, what was taken stays."""
         self.told = {}
-        self.joined.clear()
         self.vouched.clear()
         self.older.clear()
 
-    def lack(self) -> None:
-        """What is held may lack lines of each region: other services are followed from now on."""
-        self.joined.clear()
-
     def out(self) -> int:
         """How many regions the relay followed is not in touch with, or has not heard of."""
         return (sum(not live for _, live in self.told.values())
--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -43,6 +43,7 @@
         self.asked = threading.Event()  # a first call is over
         self.failures = 0           # in a row
         self.dial = DIAL_S
+        self.dialling = False
         self.wanted = threading.Event()
         self.gate = threading.Lock()
         self.moved_at = 0.0
@@ -140,7 +141,7 @@
         if self.failures == 1 or not expected:
             self.dispatcher.events.event("watch_failed" if expected else "fault", text=self.trouble,
                                          relay=homes.at)
-        wait = homes.failed(clock.now())
+        wait = homes.failed(clock.now(), self.dialling)
         if self.failures > len(homes.order):
             self.asked.set()
         self.hurry.wait(wait / 1e6)
@@ -179,6 +180,7 @@
         except OSError:
             sock.close()
             if homes.before is None:
+                self.dialling = True
                 raise
             # Guards the watch that works against one that can't be had: it goes on, with a call that does
             # not wait, as it has told nothing during the dial.
@@ -212,12 +214,14 @@
                 where = address(self.homes.at)
                 if self.watch.host != self.homes.at:
                     self.watch.move(self.homes.at)
+            self.dialling = False
             self.sock = sock = opened(where)
         sock.settimeout(self.dial)
         # Guards a discovery that always takes long to be reached against being given up each time.
         self.dial = min(LONGEST_DIAL_S, 2 * self.dial)
+        self.dialling = True
         sock.connect(where)
-        self.dial = DIAL_S
+        self.dial, self.dialling = DIAL_S, False
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.watch.restart()
         if self.moved:
