The balancer can be told how long a failed call for the list took, and asks again sooner

Cause: after a call that is given up 3 to 3.5 s after its begin came a pause of up to 4 s from its end, so that a drain that discovery had as it began was asked for only 7 s later; it counts as told after 6. Change: Balancer.listed and Dispatcher.listed take the time that the call took; the pause is drawn from a quarter to the whole of 4 s less that, 1 s at least. Whoever tells nothing has pauses as before; the watcher has to tell it still.

--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -55,6 +55,8 @@
 NEAR_ENOUGH = 0.08          # crossing price from which other zones count least
 RECENT = 64                 # submissions among which a key is judged popular
 HOT = 2.0                   # times a server's fair part from which a key is spread
+PAUSE = 4_000_000           # from the begin of a call for the list that failed to the next, at most, and
+PAUSE_LEAST = 1_000_000     # from its end, where it took long
 MEMORY = 3_000_000          # how fast a server's lag is forgotten without new samples
 SHORT = 17                  # rests under 2 to the power of this, in microseconds, are one length
 RESTS = 8                   # lengths of rests that are told apart, each twice the one before
@@ -446,12 +448,16 @@
 
     # -- the list
 
-    def listed(self, now: int, kind: Listing, entries: Sequence[Entry]) -> None:
+    def listed(self, now: int, kind: Listing, entries: Sequence[Entry], spent: int = 0) -> None:
+        """The list, or what has changed, or that a call failed, which took so long."""
         if kind == Listing.FAILED:
             self.following = self.asking = False
             # Guards the roster against all sidecars asking again together, and stays well inside the time
-            # after which a list not asked for is deemed known.
-            pause = min(self.settings.ask_every // 2, 1_000_000 + self.chance.bits() % 3_000_000)
+            # after which a list not asked for is deemed known, and the 6 s after which a change is, which
+            # may have come as the call that failed began.
+            longest = max(PAUSE_LEAST, PAUSE - spent)
+            pause = longest // 4 + self.chance.bits() % (longest * 3 // 4)
+            pause = min(self.settings.ask_every // 2, pause)
             self.outlet.wake(now + pause, self)
             return
         if kind == Listing.CACHED:
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -372,12 +372,12 @@
         self.decide(call)
         return told[0]
 
-    def listed(self, kind: Listing, update: Update) -> None:
+    def listed(self, kind: Listing, update: Update, spent: int = 0) -> None:
         def call(now: int) -> None:
             alone = self.balancer.settings.drain_alone
             if kind != Listing.FAILED:
                 self.pool.listed(update, alone)
-            self.balancer.listed(now, kind, update.entries)
+            self.balancer.listed(now, kind, update.entries, spent)
             if alone:
                 self.pool.prune(self.balancer.index)
         self.decide(call)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -446,3 +446,14 @@
         bench.end(bench.at(10 + 0.1 * name).take(name, key=name + 1), Outcome.OK)
     met = [bench.sent.count(server) for server in range(1, 8)]
     assert met[0] == 0 and all(met[1:]) and 60 < sum(met) < 150, met
+
+
+def test_the_pause_after_a_failed_call_for_the_list_is_shorter_by_how_long_that_took() -> None:
+    """A change may have come as the call began, and counts as told 6 s later: 4 are for the next call."""
+    for spent, least, longest in ((0, 1.0, 4.0), (SECOND, 0.75, 3.0), (7 * SECOND // 2, 0.25, 1.0)):
+        bench = Bench(settings(must_ask=True), [entry(10)])
+        pauses = []
+        for _ in range(200):
+            bench.balancer.listed(bench.now, Listing.FAILED, [], spent)
+            pauses.append((bench.wakes.pop()[0] - bench.now) / SECOND)
+        assert least <= min(pauses) < least * 1.1 and longest * 0.95 < max(pauses) <= longest
