--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -456,7 +456,7 @@
             # after which a list not asked for is deemed known, and the 6 s after which a change is, which
             # may have come as the call that failed began.
             longest = max(PAUSE_LEAST, PAUSE - spent)
-            pause = longest // 4 + self.chance.bits() % (longest * 3 // 4)
+            pause = (1_000_000 + self.chance.bits() % 3_000_000) * longest // PAUSE
             pause = min(self.settings.ask_every // 2, pause)
             self.outlet.wake(now + pause, self)
             return
