--- a/pumicepath/logic.py
+++ b/pumicepath/logic.py
@@ -446,13 +446,13 @@
 
     # -- the list
 
-    def listed(self, now: int, kind: Listing, entries: Sequence[Entry]) -> None:
+    def listed(self, now: int, kind: Listing, entries: Sequence[Entry], spent: int = 0) -> None:
         if kind == Listing.FAILED:
             self.following = self.asking = False
             # Guards the roster against all sidecars asking again together, and stays well inside the time
-            # after which a list not asked for is deemed known.
-            pause = min(self.settings.ask_every // 2, 1_000_000 + self.chance.bits() % 3_000_000)
-            self.outlet.wake(now + pause, self)
+            # after which a list not asked for is deemed known, or a change since that call began (`spent`).
+            pause = (1_000_000 + self.chance.bits() % 3_000_000) * max(1_000, 4_000 - spent // 1000) // 4_000
+            self.outlet.wake(now + min(self.settings.ask_every // 2, pause), self)
             return
         if kind == Listing.CACHED:
             if self.settings.must_ask:
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import resource
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
@@ -167,11 +168,18 @@
         value = limits.get(key, 0)
         if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < 1e9:
             raise ValueError(f"limits.{key}: {value!r} is not from 0 to 1e9")
-    fitting = {"memory_mb": (limits.get("memory_mb", 192) * (1 - SPARE_PART) - OWN_MB) * 1024 / CONNECTION_KB,
-               "sockets": limits.get("sockets", 1024) - KEPT_BACK}
+    # Guards the watch, which has to be opened again while clients take all they get, against limits that
+    # promise more descriptors than the process has.
+    had = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    memory, sockets = limits.get("memory_mb", 192), limits.get("sockets", 1024)
+    if had != resource.RLIM_INFINITY:
+        sockets = min(sockets, had)
+    fitting = {"memory_mb": (memory * (1 - SPARE_PART) - OWN_MB) * 1024 / CONNECTION_KB,
+               "sockets": sockets - KEPT_BACK}
     scarce = min(fitting, key=lambda key: fitting[key])
     if fitting[scarce] < FEWEST:
-        raise ValueError(f"limits.{scarce}: {limits[scarce]} leaves no room for {FEWEST} connections")
+        given = memory if scarce == "memory_mb" else sockets
+        raise ValueError(f"limits.{scarce}: {given} leaves no room for {FEWEST} connections")
     return int(fitting[scarce])
 
 
--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -43,6 +43,7 @@
         self.asked = threading.Event()  # a first call is over
         self.failures = 0           # in a row
         self.dial = DIAL_S
+        self.began = monotonic()    # from when the call that is out counts: its dial, or the end of its wait
         self.dialling = False
         self.wanted = threading.Event()
         self.gate = threading.Lock()
@@ -106,11 +107,15 @@
             sleep(STEP_S)
             self.wanted.set()
         else:
-            self.dispatcher.listed(Listing.FAILED, NOTHING)
+            # Guards what has changed since this call began, which counts as told 6 s later, against a call
+            # that was given up late and a long pause after it.
+            spent = max(0.0, monotonic() - self.began)
+            self.dispatcher.listed(Listing.FAILED, NOTHING, int(spent * 1e6))
 
     def follow_until_it_fails(self) -> None:
         first = True
         while True:
+            self.began = monotonic()
             response = self.call(self.sock if self.sock is not None else self.connect())
             update = self.watch.update(response)
             if first or update.whole or update.entries:
@@ -229,6 +234,7 @@
     def call(self, sock: socket.socket) -> Response:
         """Raises TimeoutError where discovery is silent, whether it has begun its answer or not."""
         request = self.watch.request()
+        self.began += self.watch.wait_ms / 1000
         until = monotonic() + self.watch.until_silent()
         parser = self.watch.parser
         begun = False
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -345,7 +345,7 @@
         self.events = self.pool = self
         self.addresses: dict = {}
 
-    def listed(self, kind, update) -> None:
+    def listed(self, kind, update, spent=0) -> None:
         self.told.append((kind.name, len(update.entries)))
         self.some.release()
 
