--- a/pumicepath/relay/loop.py
+++ b/pumicepath/relay/loop.py
@@ -39,7 +39,7 @@
 SWEEP = 250_000             # between two looks for connections whose time is up
 UNFINISHED = 5_000_000      # from a connection, or from an answer, until the next call is whole
 WRITTEN = 3_000_000         # from an answer's first byte until its socket has taken the last
-FULL_FOR = 100_000          # for which nothing is accepted once no descriptor is left
+FULL_FOR = 1_000_000        # without one turned away, until there is room again
 LATE = 400_000              # a loop that comes so late has stood still
 FULL = writing.response(503, [], b"", keep=False)
 HALF = 2                    # a list with less than one in so many left is told in the log
@@ -63,7 +63,7 @@
         self.numbers = 0
         self.stop = False
         self.full = self.paced = False
-        self.accept_at = 0
+        self.full_at = 0
         self.swept = 0
         descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         spare = descriptors - KEPT_BACK - MOST_OPERATORS - 2 * len(config.sources)
@@ -107,7 +107,8 @@
             if now >= self.swept + SWEEP:
                 self.sweep(now)
             if not self.again and not self.subscriptions.ready:
-                # Guards the core against a turn for each call: what comes meanwhile is taken up together.
+                # Guards the core against a turn for each call, and against a listener that can't be accepted
+                # from: what comes meanwhile is taken up together.
                 time.sleep(max(0, now + TURN - clock()) / 1e6)
         self.log.event("stopped", after_s=round((clock() - self.started) / 1e6, 3),
                        followers=len(self.followers), answers=self.counts["answers"])
@@ -169,17 +170,11 @@
         except (BlockingIOError, ConnectionAbortedError):
             return None
         except OSError as trouble:
-            # No descriptor or memory.  Guards the followers there are against a loop that only tries to
-            # accept; it is tried again a little later.
-            self.is_full(now, str(trouble))
-            if not self.accept_at:
-                self.selector.unregister(self.listener)
-                if self.admin is not None:
-                    self.selector.unregister(self.admin)
-            self.accept_at = now + FULL_FOR
+            self.is_full(now, str(trouble))     # no descriptor or memory: tried again at the next turn
             return None
 
     def is_full(self, now: int, why: str) -> None:
+        self.full_at = now
         if not self.full:
             self.full = True
             self.log.event("followers_full", followers=len(self.followers), why=why)
@@ -353,12 +348,7 @@
                 # Guards descriptors against those that connect and ask nothing, or vanish without a word.
                 self.counts["idle"] += 1
                 follower.close()
-        if self.accept_at and now >= self.accept_at:
-            self.accept_at = 0
-            self.selector.register(self.listener, selectors.EVENT_READ, self.accept)
-            if self.admin is not None:
-                self.selector.register(self.admin, selectors.EVENT_READ, self.accept_operator)
-        elif self.full and not self.accept_at and len(self.followers) < self.most:
+        if self.full and now > self.full_at + FULL_FOR and len(self.followers) < self.most:
             self.full = False
             self.log.event("followers_room", followers=len(self.followers),
                            refused=self.counts["refused_full"])
