--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -289,9 +289,10 @@
         try:
             around.event("started", after)
             around.event("succeeding", after)
-            until(lambda: sum("since" not in target for _, target in second.asked) >= 1)
-            until(second.taken)
             around.process.kill()
+            around.process.wait()
+            calls = len(second.asked)
+            until(lambda: any("since=" in target for _, target in second.asked[calls:]))
             assert around.used(20) == {"s-1"}
         finally:
             after.kill()
