lab scale: many hollow sidecars in few processes, judged by what their balancers would use

How size tells could only be reckoned: each sidecar was a process. pumicepath/lab/hollow/ runs the real watch, list and balancer of many sidecars on one selector loop, against a stand-in for discovery that writes each change down before it tells of it. A witness compares what balancers hold with that; each state of a server has a share of its own, by which a state held somewhere is known.

lab run refuses a report folder that another run is using, by the kernel's lock: two that wrote into one history made the judge read nonsense.

A small run, one with the origin killed, planted faults and refusals are tests.

--- a/pumicepath/commands/lab.py
+++ b/pumicepath/commands/lab.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import os
+from contextlib import ExitStack
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 import click
 
+from . import scale
 from .ends import fail
 
 if TYPE_CHECKING:
@@ -49,18 +51,30 @@
         as_json: bool) -> None:
     """Play an experiment, and write its report.  Ends with 1 if a rule was broken by our decisions."""
     made = read(file, seeds or 0, host)
-    if host == "loopback":
-        really(made, folder or Path("found") / made.name,
-               made.experiment.first_seed if seed is None else seed, as_json)
-        return
-    if seed is not None or as_json:
+    if host != "loopback" and (seed is not None or as_json):
         fail("--seed and --json go with --on loopback")
+    from ..lab.experiments.folders import Taken, owned
+    where = folder or Path("found") / made.name
+    with ExitStack() as until_it_ends:
+        try:
+            until_it_ends.enter_context(owned(where))
+        except Taken as trouble:
+            fail(trouble)
+        except OSError as trouble:
+            fail(f"{where}: {trouble.strerror}")
+        if host == "loopback":
+            really(made, where, made.experiment.first_seed if seed is None else seed, as_json)
+        else:
+            virtually(made, where, workers)
+
+
+def virtually(made: Read, where: Path, workers: int) -> None:
+    """Play all runs in virtual time, and write the report."""
+    from rich.console import Console
     from rich.progress import Progress
 
     from ..lab.experiments import comparing, report, running
     from ..lab.virtual.run import OURS
-    where = folder or Path("found") / made.name
-    from rich.console import Console
     console = Console(stderr=True)
     with Progress(console=console, disable=not console.is_terminal) as progress:
         task = progress.add_task(made.name, total=len(made.runs))
@@ -88,7 +102,6 @@
     from ..lab.loopback import demo, world
     history = folder / fleet.HISTORY
     try:
-        folder.mkdir(parents=True, exist_ok=True)
         result = world.play(made.plan, seed, None if as_json else lambda each: click.echo(demo.line(each)),
                             history)
     except world.Void as trouble:
@@ -174,3 +187,6 @@
         except (OSError, ValueError, KeyError) as trouble:
             fail(f"{path}: {getattr(trouble, 'strerror', None) or trouble}")
     click.echo("\n".join(comparing.compared(both[0], both[1])))
+
+
+lab.add_command(scale.scale)
--- /dev/null
+++ b/pumicepath/lab/hollow/sidecar.py
@@ -0,0 +1,232 @@
+"""One hollow sidecar: the real watch, list and balancer behind one socket of a loop.
+
+It does on the loop what `sidecar/watching.py` does on its thread, with the same bounds: how long a dial may
+take, when a call counts as silent, and after which failures it asks again at once.  Times are whole
+microseconds of the machine's monotonic clock, one for all processes of a run.
+"""
+
+from __future__ import annotations
+
+import errno
+import random
+import socket
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from ...discovery.roster import Address, BadList, Roster, Update
+from ...discovery.watch import Overtaxed, Watch
+from ...http1.messages import Malformed
+from ...interface import Listing, Phase, Wakeable
+from ...logic import Balancer, Chance
+from ...settings import decode
+from ...sidecar import clock
+from ...sidecar.watching import DIAL_S, LONGEST_DIAL_S, STEP_S, WHOLE_S
+from .plan import Plan
+
+IP_BIND_ADDRESS_NO_PORT = 24    # linux/in.h: the port is chosen at connect, so that each pair can use all
+RESTING, DIALLING, CALLING = range(3)
+SETTINGS: dict[str, Any] = {
+    "membershipMode": "pushed", "rules": {"askEveryS": 10.0, "coldFrom": 0.5, "coldS": 10.0},
+    "policyLimits": {"mostHops": 4, "connIdleS": 30.0, "dialTimeoutS": 0.25, "retryAfter": True,
+                     "maxRetryAfterS": 2.0},
+    "tariffs": [{"name": name, "effect": effect, "gain": 1.0, "agreedTimeS": 0.6, "patienceS": 2.5}
+                for name, effect in (("read", "idempotent"), ("once", "at_most_once"))]}
+
+
+class Loop(Protocol):
+    """What a hollow sidecar needs of the process that it is in."""
+
+    def expect(self, sidecar: Hollow, writable: bool) -> None: ...
+
+    def expect_nothing(self, sidecar: Hollow) -> None: ...
+
+    def wake(self, at: int, sidecar: Hollow) -> None: ...
+
+    def updated(self, sidecar: Hollow, whole: bool) -> None: ...
+
+
+class Mute:
+    """In the place of a host: nothing is sent, so the balancer has nothing to say."""
+
+    def send(self, submission: int, server: int, timeout: int) -> None: ...
+
+    def defer(self, submission: int, retry_in: int) -> None: ...
+
+    def forfeit(self, submission: int) -> None: ...
+
+    def cancel(self, submission: int, hop: int) -> None: ...
+
+    def probe(self, server: int) -> None: ...
+
+    def tell(self, peer: int, data: bytes) -> None: ...
+
+    def free_links(self, server: int) -> None: ...
+
+    def follow(self) -> None: ...
+
+    def wake(self, at: int, whom: Wakeable) -> None: ...
+
+    def log(self, text: str) -> None: ...
+
+
+MUTE = Mute()
+
+
+def told(plan: Plan, number: int) -> dict[str, Any]:
+    """The settings that sidecar `number` is told, as a real one would find them in its file."""
+    zones = [plan.zone_name(zone) for zone in range(plan.ask.zones)]
+    return {**SETTINGS, "dcs": zones, "me": number, "fleetSize": plan.ask.sidecars,
+            "zone": plan.zone_of[number]}
+
+
+class Hollow:
+    __slots__ = ("number", "name", "loop", "roster", "balancer", "watch", "chance", "addresses", "sock",
+                 "step", "due", "where", "begun", "dial", "failures", "bytes", "updated_at", "listed",
+                 "plant")
+
+    def __init__(self, plan: Plan, number: int, where: str, loop: Loop) -> None:
+        self.number, self.name, self.loop = number, f"n{number}", loop
+        info = told(plan, number)
+        self.roster = Roster(info["dcs"], clock.since_unix_ms)
+        self.balancer = Balancer(decode(info), number + 1, MUTE)
+        self.chance = Chance(random.Random(f"sidecar {plan.ask.seed} {number}").getrandbits(63))
+        self.addresses: dict[int, Address] = {}
+        self.sock: socket.socket | None = None
+        self.step = RESTING
+        self.due = 0                # what happens next if nothing comes: see `woke`
+        self.where = where
+        self.begun = False
+        self.dial = DIAL_S
+        self.failures = 0
+        self.bytes = 0              # both ways, payload alone
+        self.updated_at = 0
+        self.listed = False         # whether it has had a list
+        self.plant: Callable[[Update], Update] | None = None
+        self.watch = self.watching(plan)
+
+    def watching(self, plan: Plan) -> Watch:
+        wait_us = int(2e6 * SETTINGS["rules"]["askEveryS"])
+        return Watch(self.roster, self.where, -1, wait_us, self.chance.share)
+
+    # -- the socket
+
+    def begin(self, now: int) -> None:
+        """Dial, from an address of its own process's drawing."""
+        host, _, port = self.where.rpartition(":")
+        self.sock = sock = socket.socket(socket.AF_INET)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
+        sock.bind((f"127.{16 + (self.number >> 12 & 31)}.{self.number >> 4 & 255}.1", 0))
+        found = sock.connect_ex((host, int(port)))
+        if found not in (0, errno.EINPROGRESS):
+            self.failed(now, OSError(found, "dial"))
+            return
+        self.step = DIALLING
+        self.loop.expect(self, True)
+        self.alarm(now + int(1e6 * self.dial))
+        self.dial = min(LONGEST_DIAL_S, 2 * self.dial)
+
+    def alarm(self, at: int) -> None:
+        self.due = at
+        self.loop.wake(at, self)
+
+    def woke(self, now: int) -> None:
+        """Nothing has come until `due`: time to dial, or too long for a dial or an answer."""
+        if self.step == RESTING:
+            self.begin(now)
+        else:
+            self.failed(now, TimeoutError("silent"))
+
+    def ready(self, now: int) -> None:
+        """The socket can be used."""
+        try:
+            if self.step == DIALLING:
+                self.dialled(now)
+            else:
+                self.read(now)
+        except (OSError, Malformed, BadList) as trouble:
+            self.failed(now, trouble)
+
+    def dialled(self, now: int) -> None:
+        assert self.sock is not None
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, "dial")
+        self.dial = DIAL_S
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.watch.restart()
+        self.step = CALLING
+        self.loop.expect(self, False)
+        self.call(now)
+
+    def call(self, now: int) -> None:
+        assert self.sock is not None
+        request = self.watch.request()
+        if self.sock.send(request) < len(request):
+            raise OSError(errno.ENOBUFS, "no room for a request")
+        self.bytes += len(request)
+        self.begun = False
+        self.alarm(now + int(1e6 * self.watch.until_silent()))
+
+    def read(self, now: int) -> None:
+        assert self.sock is not None
+        parser = self.watch.parser
+        while True:
+            try:
+                count = self.sock.recv_into(parser.ring.room())
+            except BlockingIOError:
+                return
+            parser.ring.wrote(count)
+            self.bytes += count
+            if not self.begun:
+                self.begun = True
+                self.alarm(max(self.due, now + int(1e6 * WHOLE_S)))
+            if not count:
+                parser.end()
+            response = parser.next()
+            if response is not None:
+                break
+            if not count:
+                raise ConnectionResetError("discovery ended the connection")
+        self.take(now, self.watch.update(response))
+        if response.keeps():
+            self.call(now)
+        else:
+            self.close()
+            self.begin(now)
+
+    def take(self, now: int, update: Update) -> None:
+        if self.plant is not None:
+            update = self.plant(update)
+        first = not self.listed or self.failures > 0
+        self.failures = 0
+        self.listed = True
+        if first or update.whole or update.entries:
+            if update.whole:
+                self.addresses.clear()
+            for entry, where in zip(update.entries, update.addresses):
+                if entry.phase == Phase.GONE:
+                    self.addresses.pop(entry.server, None)
+                else:
+                    self.addresses[entry.server] = where
+            self.balancer.listed(clock.since_monotonic(now),
+                                 Listing.FULL if update.whole else Listing.CHANGES, update.entries)
+            self.updated_at = now
+            self.loop.updated(self, update.whole)
+
+    def failed(self, now: int, trouble: Exception) -> None:
+        """Ask again: at once after a first failure, else after a step."""
+        self.close()
+        self.watch.doubted = True
+        self.failures += 1
+        if self.failures == 1 and not isinstance(trouble, Overtaxed):
+            self.begin(now)
+        else:
+            self.alarm(now + int(1e6 * STEP_S))
+
+    def close(self) -> None:
+        self.step = RESTING
+        if self.sock is not None:
+            self.loop.expect_nothing(self)
+            self.sock.close()
+            self.sock = None
--- /dev/null
+++ b/tests/test_hollow.py
@@ -0,0 +1,273 @@
+"""Hollow sidecars: their plan, the judge of what they hold, and small runs with real processes."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from pumicepath.command import main
+from pumicepath.discovery.roster import stable
+from pumicepath.interface import Entry, Listing, Phase
+from pumicepath.lab.experiments.folders import LOCK, Taken, owned
+from pumicepath.lab.hollow import needs
+from pumicepath.lab.hollow.plan import STEP, Ask, BadAsk, Plan, checked
+from pumicepath.lab.hollow.run import Run
+from pumicepath.lab.hollow.sidecar import MUTE, told
+from pumicepath.lab.hollow.truth import ACTIVE, LEAVING, LEFT, Change, Ledger, Tail
+from pumicepath.lab.hollow.verdict import Verdict, Window, counted
+from pumicepath.lab.hollow.witness import Witness
+from pumicepath.logic import Balancer
+from pumicepath.settings import decode
+
+from .rig import until
+
+SMALL = ["lab", "scale", "--sidecars", "12", "--services", "3", "--regions", "2", "--zones", "2", "--json"]
+S = 1_000_000
+PHASES = {ACTIVE: Phase.READY, LEAVING: Phase.DRAINING, LEFT: Phase.GONE}
+
+
+# -- the plan
+
+def test_sizes_are_a_long_tail_and_one_seed_makes_one_plan() -> None:
+    ask = Ask(20_000, 1_900, regions=10, zones=34)
+    plan, again = Plan(ask), Plan(ask)
+    assert sum(plan.sizes) == 20_000 and min(plan.sizes) >= 1 and 1_000 <= max(plan.sizes) <= 2_500
+    assert plan.calls == again.calls and plan.zone_of == again.zone_of and plan.service_of == again.service_of
+    assert Plan(Ask(20_000, 1_900, regions=10, zones=34, seed=2)).calls != plan.calls
+    assert all(len(set(calls)) == 5 for calls in plan.calls)
+    assert {plan.region_of(server) for server in range(100)} <= set(range(10))
+
+
+@pytest.mark.parametrize("given, option", [
+    (["--sidecars", "0"], "--sidecars"), (["--services", "13"], "--services"),
+    (["--regions", "0"], "--regions"),
+    (["--zones", "1"], "--zones"), (["--changes-per-s", "-1"], "--changes-per-s"), (["--for", "0"], "--for"),
+    (["--fault", "flood"], "--fault"), (["--fault", "region-cut"], "--fault"), (["--calls", "0"], "--calls"),
+    (["--fault", "release", "--fault-for", "60"], "--for"), (["--popular", "nan"], "--popular"),
+    (["--sidecars", "20000", "--services", "1900"], "--sidecars"),
+    (["--form", "relayed", "--regions", "30", "--sidecars", "90", "--zones", "30",
+      "--relays-per-region", "16"], "--relays-per-region")])
+def test_what_cannot_be_run_is_refused_by_the_option_before_anything_starts(
+        given: list[str], option: str, tmp_path: Path) -> None:
+    ended = CliRunner().invoke(main, [*SMALL, *given, "--report", str(tmp_path / "run")])
+    assert ended.exit_code == 2 and f"{option}:" in ended.output and ended.output.count("\n") == 1
+    assert not (tmp_path / "run").exists()
+
+
+def test_memory_is_reckoned_from_what_is_held_and_too_much_is_refused() -> None:
+    small, large = (needs.needs(Plan(Ask(count, 95)), 4) for count in (500, 1_000))
+    assert large.held == 4 * small.held == 1_000_000
+    needs.refuse(large)
+    with pytest.raises(BadAsk, match="--sidecars: takes about"):
+        needs.refuse(needs.needs(Plan(Ask(4_000, 380)), 4))
+    needs.refuse(needs.needs(Plan(Ask(4_000, 380, regions=2, zones=6, form="relayed")), 4))
+
+
+def test_bad_faults_do_not_fit_in_a_short_run() -> None:
+    with pytest.raises(BadAsk, match="--for"):
+        checked(Ask(12, 3, seconds=5.0, fault_s=3.0, faults=("release", "zone-lost")))
+
+
+# -- the judge
+
+class Held:
+    """A balancer as a hollow sidecar has one, told of lists by the test."""
+
+    def __init__(self, plan: Plan, number: int = 0) -> None:
+        self.plan, self.number, self.updated_at = plan, number, 0
+        self.balancer = Balancer(decode(told(plan, number)), 1, MUTE)
+
+    def take(self, at: int, whole: bool, *changes: Change) -> None:
+        entries = [Entry(stable(self.plan.server_name(one.server)), 0, 0, PHASES[one.health],
+                         1.0 + one.state / STEP, one.born, self.plan.server_name(one.server))
+                   for one in changes]
+        self.balancer.listed(at, Listing.FULL if whole else Listing.CHANGES, entries)
+        self.updated_at = at
+
+
+class Scene:
+    """One sidecar that calls the one service of three servers, and its witness."""
+
+    def __init__(self) -> None:
+        self.plan = Plan(Ask(3, 1))
+        self.sidecar = Held(self.plan)
+        self.unread: list[Change] = []
+        self.all: list[Change] = []
+        self.witness = Witness(self.plan, [self.sidecar], self.read)
+        self.sidecar.take(0, True, *(Change(0, server, 0, ACTIVE, 0) for server in range(3)))
+
+    def read(self) -> list[Change]:
+        found, self.unread = self.unread, []
+        return found
+
+    def change(self, at: int, server: int, state: int, health: str, born: int = 0) -> Change:
+        one = Change(at, server, state, health, born)
+        self.unread.append(one)
+        self.all.append(one)
+        return one
+
+    def tell(self, at: int, *changes: Change) -> None:
+        self.sidecar.take(at, False, *changes)
+        self.witness.updated(self.sidecar, False)
+
+    def verdict(self, at: int, *windows: Window) -> Verdict:
+        self.witness.tick(at)
+        self.witness.compare()
+        verdict = Verdict(self.plan, self.all, windows, 0)
+        verdict.add({**self.witness.found(), "at": at})
+        return verdict
+
+
+def test_time_in_force_is_from_when_the_origin_had_it_until_the_balancer_goes_by_it() -> None:
+    scene = Scene()
+    drain, share = scene.change(1 * S, 0, 1, LEAVING), scene.change(2 * S, 1, 1, ACTIVE)
+    scene.witness.tick(2 * S)
+    scene.tell(3 * S, drain)
+    scene.tell(4 * S, share)
+    gone = scene.change(5 * S, 0, 2, LEFT)
+    scene.tell(5 * S + 1, gone)             # before the witness has read of it
+    back = scene.change(6 * S, 0, 3, ACTIVE, 7)
+    scene.witness.tick(6 * S)
+    assert scene.witness.waiting() == 1
+    scene.tell(7 * S, back)
+    found = scene.verdict(8 * S)
+    assert sorted(found.took) == [1, S, 2 * S, 2 * S] and not found.bad and not found.late
+
+
+def test_sidecar_that_ignores_a_drain_is_caught_and_not_before_6_s() -> None:
+    scene = Scene()
+    scene.change(0, 0, 1, LEAVING)
+    assert not scene.verdict(6 * S).late
+    found = scene.verdict(7 * S)
+    assert found.late == {(0, 1)} and found.bad["used_too_late"] == 1 and found.recovered_s(S, S) is None
+
+
+def test_late_word_of_a_drain_is_caught_though_it_comes_in_the_end() -> None:
+    scene = Scene()
+    drain = scene.change(0, 0, 1, LEAVING)
+    scene.witness.tick(S)
+    scene.tell(8 * S, drain)
+    found = scene.verdict(9 * S)
+    assert found.late and found.bad == {"used_too_late": 1} and found.recovered_s(3 * S, 3 * S) == 5.0
+
+
+def test_server_that_goes_back_to_an_older_state_is_caught() -> None:
+    scene = Scene()
+    drain = scene.change(0, 0, 1, LEAVING)
+    scene.witness.tick(0)
+    scene.tell(1, drain)
+    scene.tell(2, Change(0, 0, 0, ACTIVE, 0))
+    found = scene.verdict(3)
+    assert found.bad == {"back": 1, "old_at_end": 1}
+
+
+def test_entry_that_goes_missing_is_caught_and_one_that_has_left_is_not() -> None:
+    scene = Scene()
+    share = scene.change(0, 0, 1, ACTIVE)
+    scene.witness.tick(0)
+    scene.tell(1, share)
+    left = scene.change(2, 1, 1, LEFT)
+    scene.tell(3, left, Change(0, 0, 2, LEFT, 0))
+    assert scene.verdict(4).bad == {"lost": 1, "missing_at_end": 1}
+
+
+def test_what_no_origin_told_in_a_window_counts_from_its_end() -> None:
+    cut = Window(1 * S, 9 * S, region=0, there=0, but=True)
+    assert cut.concerns(0, 1) and not cut.concerns(0, 0) and not cut.concerns(1, 0)
+    assert counted(0, 12 * S, [cut]) == (9 * S, 3 * S)             # out of reach within its 6 s
+    assert counted(2 * S, 9 * S + 5, [cut]) == (9 * S, 5)
+    assert counted(0, S // 2, [cut]) == (0, S // 2)                # in force before
+    assert counted(-6 * S, 12 * S, [cut]) == (-6 * S, 18 * S)      # its 6 s were over before
+    assert counted(10 * S, 12 * S, [cut]) == (10 * S, 2 * S)
+    assert counted(0, 30 * S, [Window(10 * S, 20 * S), cut]) == (20 * S, 10 * S)
+
+
+def test_ledger_is_read_on_in_whole_lines(tmp_path: Path) -> None:
+    path, changes = tmp_path / "truth", [Change(at, at, 1, ACTIVE, 0) for at in range(3)]
+    tail = Tail(path)
+    assert tail.read() == []
+    Ledger(path).write(changes[:2])
+    assert tail.read() == changes[:2] and tail.read() == []
+    whole = json.dumps(list(changes[2])) + "\n"
+    with path.open("a") as file:
+        file.write(whole[:5])
+        file.flush()
+        assert tail.read() == []
+        file.write(whole[5:])
+    assert tail.read() == changes[2:]
+
+
+# -- runs
+
+def test_small_direct_run_with_the_origin_killed_has_all_in_force(tmp_path: Path) -> None:
+    ended = CliRunner().invoke(main, [*SMALL, "--changes-per-s", "10", "--for", "4", "--fault",
+                                      "control-killed", "--fault-for", "1", "--report", str(tmp_path)])
+    assert ended.exit_code == 0, ended.output
+    found = json.loads(ended.output)
+    assert found["sidecars"] == 12 and found["changes"] > 0 and found["observed"] > found["changes"]
+    assert found["violations"] == {} and found["not_in_force"] == 0 and found["recovered_s"] is not None
+    assert found["control"]["machines"] == 1 and found["bytes_s_each"]["mean"] > 0
+    assert found["held_each"] == 12.0
+
+
+@pytest.mark.parametrize("planted, kind", [
+    ("ignores-drain", "old_at_end"), ("goes-back", "back"), ("origin-loses", "missing_at_end")])
+def test_faults_planted_in_processes_are_found(planted: str, kind: str, tmp_path: Path) -> None:
+    ask = Ask(20, 2, changes_per_s=30, seconds=1, planted=(planted,))
+    found = Run(Plan(checked(ask)), tmp_path, 2, lambda line: None, settle_s=0.5).play()
+    assert found["violations"].get(kind), found
+
+
+def test_all_that_a_run_started_ends_with_it(tmp_path: Path) -> None:
+    run = subprocess.Popen([sys.executable, "-m", "pumicepath", *SMALL, "--for", "60",
+                            "--report", str(tmp_path)], stdout=subprocess.PIPE,
+                           stderr=subprocess.PIPE, text=True)
+    children = Path(f"/proc/{run.pid}/task/{run.pid}/children")
+    until(lambda: list(tmp_path.glob("host-*.err")) and len(children.read_text().split()) >= 2)
+    started = [int(pid) for pid in children.read_text().split()]
+    run.send_signal(signal.SIGINT)
+    out, err = run.communicate(timeout=60)
+    assert run.returncode == 130 and out == "" and "interrupted" in err
+    until(lambda: not any(alive(pid) for pid in started))
+
+
+def alive(pid: int) -> bool:
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+    except OSError:
+        return False
+
+
+# -- a folder is one run's own
+
+def test_folder_that_another_run_uses_is_refused_by_name(tmp_path: Path) -> None:
+    with owned(tmp_path), pytest.raises(Taken, match=f"{tmp_path}.*process {os.getpid()}"), owned(tmp_path):
+        pass
+    with owned(tmp_path):       # free again
+        assert (tmp_path / LOCK).read_text() == f"{os.getpid()}\n"
+
+
+@pytest.mark.parametrize("command", [["lab", "run", "experiments/hall.toml"], SMALL,
+                                     ["lab", "run", "experiments/fleet-noise.toml", "--on", "loopback"]])
+def test_commands_refuse_a_folder_in_use(command: list[str], tmp_path: Path) -> None:
+    holder = subprocess.Popen(
+        [sys.executable, "-c", "import sys; from pathlib import Path\n"
+         "from pumicepath.lab.experiments.folders import owned\n"
+         "with owned(Path(sys.argv[1])): print('has it', flush=True); sys.stdin.read()", str(tmp_path)],
+        stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+    assert holder.stdout is not None and holder.stdin is not None
+    assert holder.stdout.readline() == "has it\n"
+    ended = CliRunner().invoke(main, [*command, "--report", str(tmp_path)])
+    assert ended.exit_code == 2 and f"{tmp_path}: another run (process {holder.pid})" in ended.output
+    assert [file.name for file in tmp_path.iterdir()] == [LOCK]
+    holder.kill()               # however it ends, the folder is free
+    holder.wait()
+    with owned(tmp_path):
+        pass
