--- a/pumicepath/lab/hollow/faults.py
+++ b/pumicepath/lab/hollow/faults.py
@@ -19,6 +19,8 @@
 
 
 class Fault:
+    lasts = True                # until `fault_s` have passed; else over once it has begun
+
     def __init__(self, run: Run) -> None:
         self.run = run
         self.began = now()
@@ -65,14 +67,15 @@
 class ControlRestarted(Fault):
     """All relays, or the origin, at once."""
 
+    lasts = False
+
     def begin(self) -> None:
         for child in self.run.control:
             child.kill()
         self.run.restart(range(len(self.run.control)))
-        self.up = now()
 
     def end(self) -> list[Window]:
-        return [Window(self.began, self.up)]
+        return [Window(self.began, now())]
 
 
 class ZoneLost(Fault):
--- a/pumicepath/lab/hollow/run.py
+++ b/pumicepath/lab/hollow/run.py
@@ -87,7 +87,7 @@
             path = self.folder / f"relay-{relay}.json"
             told = {"name": f"relay-{relay}", "sources": sources,
                     "listen": f"127.{8 + (region >> 8)}.{region & 255}.{relay % ask.relays_per_region + 1}:0",
-                    "mostFollowers": 19_000}
+                    "mostFollowers": max(4096, ask.sidecars)}
             path.write_text(json.dumps(told))
             child = Child(["-m", "pumicepath", "relay", "--config", str(path)], self.folder, f"relay-{relay}")
             self.relays.append(child)
@@ -153,7 +153,8 @@
             self.wait(began + slot * at + max(0.0, slot - ask.fault_s) / 3)
             self.progress(f"{time.monotonic() - began:.1f} s: {name}")
             fault = FAULTS[name](self)
-            self.wait(time.monotonic() + ask.fault_s)
+            if fault.lasts:
+                self.wait(time.monotonic() + ask.fault_s)
             self.windows += fault.end()
             end = truth.now()
             # Something has to come into force after each fault, or nobody could say when that is over.
