--- a/pumicepath/lab/hollow/witness.py
+++ b/pumicepath/lab/hollow/witness.py
@@ -68,6 +68,8 @@
                 self.callers.setdefault(service, []).append(sidecar)
         self.latest: dict[int, Change] = {}
         self.pending: dict[int, list[Change]] = {sidecar.number: [] for sidecar in sidecars}
+        self.behind: dict[int, Sidecar] = {}        # those with something pending
+        self.settled: list[Sidecar] = []            # those with something held
         self.held: dict[int, dict[int, int]] = {sidecar.number: {} for sidecar in sidecars}  # highest state
         # By change and the sidecar's region: how long each took, in microseconds.
         self.took: dict[tuple[int, int], dict[int, list[int]]] = {}
@@ -84,24 +86,24 @@
 
     def tick(self, at: int) -> None:
         self.learn()
-        for sidecar in self.sidecars:
-            if self.pending[sidecar.number]:
-                self.look(sidecar, at)
+        for sidecar in list(self.behind.values()):
+            self.look(sidecar, at)
         done = 0
-        for _ in range(len(self.sidecars)):
+        for _ in range(len(self.settled)):
             if done >= A_TICK:
                 break
-            self.turn = (self.turn + 1) % len(self.sidecars)
-            done += self.look_back(self.sidecars[self.turn])
+            self.turn = (self.turn + 1) % len(self.settled)
+            done += 1 + self.look_back(self.settled[self.turn])
 
     def learn(self) -> None:
         for change in self.truth():
             self.latest[change.server] = change
             for sidecar in self.callers.get(self.plan.service_of[change.server], ()):
                 self.pending[sidecar.number].append(change)
+                self.behind[sidecar.number] = sidecar
 
     def updated(self, sidecar: Sidecar, whole: bool) -> None:
-        if self.pending[sidecar.number]:
+        if sidecar.number in self.behind:
             self.look(sidecar, sidecar.updated_at)
         if whole or len(self.held[sidecar.number]) <= AT_ONCE:
             self.look_back(sidecar)
@@ -116,10 +118,14 @@
                 since = min(at, max(change.at, sidecar.updated_at))
                 took = self.took.setdefault((change.server, change.state), {})
                 took.setdefault(region, []).append(max(0, since - change.at))
+                if not held:
+                    self.settled.append(sidecar)
                 held[change.server] = max(change.state, held.get(change.server, 0))
             else:
                 left.append(change)
         self.pending[sidecar.number] = left
+        if not left:
+            del self.behind[sidecar.number]
 
     def look_back(self, sidecar: Sidecar) -> int:
         """Whether one of its servers is in an older state than before, or missing.  Tells how many it saw."""
@@ -127,23 +133,21 @@
         for server, state in held.items():
             seen = view(sidecar.balancer, self.ids[server])
             if seen is None:
-                if self.latest[server].health != ACTIVE or self.latest[server].state > state:
+                if state < 0 or self.latest[server].health != ACTIVE or self.latest[server].state > state:
                     continue
                 self.learn()            # it may be ahead of what has been read of the truth
                 if self.latest[server].state == state:
                     self.violation("lost", sidecar, server)
-                    held[server] = state = -1
+                    held[server] = -1   # told once
             elif seen.state < state:
                 self.violation("back", sidecar, server)
                 held[server] = seen.state
             elif seen.state > state:
                 held[server] = seen.state
-        for server in [server for server, state in held.items() if state < 0]:
-            del held[server]
         return len(held)
 
     def waiting(self) -> int:
-        return sum(map(len, self.pending.values()))
+        return sum(len(self.pending[number]) for number in self.behind)
 
     # -- at the end
 
