--- a/pumicepath/lab/hollow/host.py
+++ b/pumicepath/lab/hollow/host.py
@@ -46,6 +46,7 @@
         self.starting: set[int] = set()
         self.ready = False
         self.judged = 0.0           # CPU seconds of the witness's
+        self.failed = 0
         self.lag = 0                # the longest that a tick came late, in microseconds
         self.began: tuple[float, float, float, list[int]] = (0.0, 0.0, 0.0, [])
         self.plant()
@@ -101,6 +102,7 @@
         do = order["do"]
         if do == "measure":
             self.lag = 0
+            self.failed = sum(one.failed_calls for one in self.sidecars)
             before = [one.bytes for one in self.sidecars]
             self.began = (processes.cpu(), self.judged, time.monotonic(), before)
         elif do == "measured":
@@ -109,7 +111,7 @@
                 "event": "measured", "cpu_s": processes.cpu() - cpu, "judged_s": self.judged - judged,
                 "seconds": time.monotonic() - at, "mb": processes.mb(), "base_mb": self.base_mb,
                 "bytes": [one.bytes - then for one, then in zip(self.sidecars, before)], "lag_us": self.lag,
-                "failed": sum(one.failures > 0 for one in self.sidecars)})
+                "failed": sum(one.failed_calls for one in self.sidecars) - self.failed})
         elif do == "waiting":
             self.witness.tick(truth.now())
             processes.say({"event": "waiting", "pairs": self.witness.waiting()})
--- a/pumicepath/lab/hollow/run.py
+++ b/pumicepath/lab/hollow/run.py
@@ -247,6 +247,7 @@
                         "wholes": int(origin["wholes"])},
             "held_each": round(sum(one["held"] for one in self.told) / ask.sidecars, 1),
             "start_s": round(self.start_s, 1), "rig_lag_s": round(lag / 1e6, 3),
+            "failed_calls": sum(one["failed"] for one in told),
             "judge_core_share": round(sum(one["judged_s"] / one["seconds"] for one in told), 3),
             "seconds": round(seconds, 1), "regions": ask.regions, "zones": ask.zones, "calls": ask.calls,
             "changes_per_s": ask.changes_per_s, "form": ask.form, "relays_per_region":
--- a/pumicepath/lab/hollow/sidecar.py
+++ b/pumicepath/lab/hollow/sidecar.py
@@ -10,6 +10,7 @@
 
 import errno
 import random
+import select
 import socket
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
@@ -81,10 +82,17 @@
             "zone": plan.zone_of[number]}
 
 
+def come(sock: socket.socket, writable: bool) -> bool:
+    """Whether a socket can be used without waiting."""
+    poll = select.poll()
+    poll.register(sock, select.POLLOUT if writable else select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Hollow:
     __slots__ = ("number", "name", "loop", "roster", "balancer", "watch", "chance", "addresses", "sock",
                  "step", "due", "where", "begun", "dial", "failures", "bytes", "updated_at", "listed",
-                 "plant", "homes", "before")
+                 "plant", "homes", "before", "failed_calls")
 
     def __init__(self, plan: Plan, number: int, places: Sequence[str], loop: Loop) -> None:
         """`places` are its relays, or the one discovery."""
@@ -104,7 +112,8 @@
         self.where = self.homes.at if self.homes else places[0]
         self.begun = False
         self.dial = DIAL_S
-        self.failures = 0
+        self.failures = 0           # in a row
+        self.failed_calls = 0       # in all
         self.bytes = 0              # both ways, payload alone
         self.updated_at = 0
         self.listed = False         # whether it has had a list
@@ -149,7 +158,13 @@
         """Nothing has come until `due`: time to dial, or too long for a dial or an answer."""
         if self.step == RESTING:
             self.begin(now)
-        else:
+            return
+        due = self.due
+        if self.sock is not None and come(self.sock, self.step != CALLING):
+            # Guards a sidecar against being judged by how late the loop is that it shares: it has come in
+            # time, and waits to be read.
+            self.ready(now)
+        if self.due == due:
             self.failed(now, TimeoutError("silent"))
 
     def ready(self, now: int) -> None:
@@ -268,6 +283,7 @@
         self.close()
         self.watch.doubted = True
         self.failures += 1
+        self.failed_calls += 1
         if self.homes is not None:
             self.alarm(now + self.homes.failed(clock.since_monotonic(now)))
         elif self.failures == 1 and not isinstance(trouble, Overtaxed):
