--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow_against_real.py
@@ -1,6 +1,6 @@
 """Hollow sidecars against real ones at the same work: how far figures of `lab scale` can be trusted.
 
-    python benchmarks/hollow.py --each 100 --sizes 100,500,1000,2000 --rest 15 --changing 20 --rate 10
+    python benchmarks/hollow_against_real.py --each 100 --sizes 100,500,1000,2000 --rest 15 --rate 10
 
 At each size of the list, `--each` real `serve` processes (no clients) and as many hollow sidecars in one
 process follow one origin at the same time.  First nothing changes, then `--rate` changes a second.  One JSON
--- a/pumicepath/lab/hollow/needs.py
+++ b/pumicepath/lab/hollow/needs.py
@@ -12,14 +12,15 @@
 MOST_MB = 11_000
 MOST_PROCESSES = 300
 MOST_DESCRIPTORS = 20_000
-# Measured with benchmarks/hollow.py, Python 3.11: a process of hollow sidecars before the first; a sidecar
-# that holds nothing; a server that one holds; an origin or relay, what it holds of a server and a connection.
+# Measured with `lab scale` at 250 to 14,000 sidecars (docs/lab.md), Python 3.11, with a little to spare: a
+# process of hollow sidecars before the first, a sidecar that holds nothing, a server that one holds; a relay
+# or origin, what it has of each server that it lists, and of each sidecar's machine in the plan.
 HOST_MB = 40.0
-SIDECAR_KB = 60.0
+SIDECAR_KB = 25.0
 SERVER_KB = 3.0
-CONTROL_MB = 40.0
-LISTED_KB = 4.0
-CALLER_KB = 8.0
+CONTROL_MB = 25.0
+LISTED_KB = 6.0
+PLANNED_KB = 1.0
 RUN_MB = 60.0
 
 
@@ -48,9 +49,9 @@
     relays = 0 if direct else ask.regions * ask.relays_per_region
     origins = 1 if direct else ask.regions
     forwarders = int("region-cut" in ask.faults)
-    control = (origins + relays) * CONTROL_MB + ask.sidecars * LISTED_KB / 1000 * (1 + relays)
-    mb = (RUN_MB + hosts * HOST_MB + ask.sidecars * (SIDECAR_KB + CALLER_KB) / 1000 + held * SERVER_KB / 1000
-          + control)
+    control = (relays * (CONTROL_MB + ask.sidecars * LISTED_KB / 1000)
+               + origins * (CONTROL_MB + ask.sidecars * (LISTED_KB / origins + PLANNED_KB) / 1000))
+    mb = (RUN_MB + hosts * HOST_MB + ask.sidecars * SIDECAR_KB / 1000 + held * SERVER_KB / 1000 + control)
     # All of a region's sidecars may come to one of its relays, while the others are down.
     most = ask.sidecars if direct else -(-ask.sidecars // ask.regions)
     return Needs(1 + hosts + origins + relays + forwarders, mb, held, max(most, -(-ask.sidecars // hosts)))
