Real relays and sidecars under six faults, judged at the servers from the origin's word

Change: two origins, two relays, three serve processes whose clients never rest; a relay killed, stopped, deaf one way, out of descriptors, discovery down, all relays restarted at once. A drain and a new server come meanwhile: nothing may reach the draining one past 6 s (1.5 s for a busy machine) from when discovery had it and could be reached, all have to use the new one, no request may be lost. Also: a process whose own descriptors are very few starts as before.

--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -173,7 +173,7 @@
     had = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     memory, sockets = limits.get("memory_mb", 192), limits.get("sockets", 1024)
     if had != resource.RLIM_INFINITY:
-        sockets = min(sockets, had)
+        sockets = min(sockets, max(had, KEPT_BACK + FEWEST))
     fitting = {"memory_mb": (memory * (1 - SPARE_PART) - OWN_MB) * 1024 / CONNECTION_KB,
                "sockets": sockets - KEPT_BACK}
     scarce = min(fitting, key=lambda key: fitting[key])
--- /dev/null
+++ b/tests/test_relayed_sidecars.py
@@ -0,0 +1,279 @@
+"""Real relays and real sidecars under faults, judged by what reached servers: rule 3 from the origin's word.
+
+Two origins, each of a region; relays between them and three `serve` processes, whose clients never rest.  A
+server is drained and another begins while the fault lasts; what each sidecar sent, and when, the servers say.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from pumicepath.http1 import writing
+from pumicepath.http1.parsing import RequestParser, ResponseParser
+from pumicepath.lab.loopback.scripted import next_of
+
+from .relay_rig import Origin, Relay, line, until
+
+COUNT = 3
+TOLD_S = 6.0                # after which a change counts as told, once discovery had it and could be reached
+SLACK_S = 1.5               # of a busy machine, between a sidecar's choice and the stand-in's stamp
+FORCE_S = 30.0              # nobody is left on an old list for longer, on the slowest machine
+
+
+class Server:
+    """Answers 200 to all, and keeps when which sidecar's request came."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(None)
+        self.port = self.listener.getsockname()[1]
+        self.met: list[tuple[float, str]] = []
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            threading.Thread(target=self.serve, args=(self.listener.accept()[0],), daemon=True).start()
+
+    def serve(self, sock: socket.socket) -> None:
+        sock.settimeout(None)
+        parser = RequestParser()
+        with suppress(OSError):
+            while (request := next_of(sock, parser)) is not None:
+                self.met.append((time.monotonic(), request.header("X-Trace-Id").partition("-")[0]))
+                sock.sendall(writing.response(200, [], b"served", True))
+
+    def by(self, since: float) -> set[str]:
+        return {name for at, name in list(self.met) if at >= since}
+
+
+class Cut:
+    """Forwards both ways; while `cut`, what the origin says is swallowed and what it is asked goes on."""
+
+    def __init__(self, to: tuple[str, int]) -> None:
+        self.to = to
+        self.cut = False
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(None)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            near = self.listener.accept()[0]
+            try:
+                far = socket.create_connection(self.to)
+            except OSError:     # it refuses
+                near.close()
+                continue
+            for one, other, back in ((near, far, False), (far, near, True)):
+                threading.Thread(target=self.pass_on, args=(one, other, back), daemon=True).start()
+
+    def pass_on(self, one: socket.socket, other: socket.socket, back: bool) -> None:
+        one.settimeout(None)
+        with suppress(OSError):
+            while data := one.recv(65536):
+                if not (back and self.cut):
+                    other.sendall(data)
+        with suppress(OSError):
+            other.shutdown(socket.SHUT_RDWR)
+
+
+class Sidecars:
+    """`serve` processes that follow these relays, each with a client that asks on end."""
+
+    def __init__(self, folder: Path, relays: list[Relay]) -> None:
+        self.over = False
+        self.bad: list[str] = []
+        self.counts = dict.fromkeys((f"n{number}" for number in range(COUNT)), 0)
+        self.processes = []
+        for number, name in enumerate(self.counts):
+            told = {
+                "name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": f"{number + 1:x}",
+                "limits": {"memory_mb": 192, "sockets": 256}, "services": ["cart"],
+                "relays": [f"{host}:{port}" for host, port in (relay.where for relay in relays)],
+                "settings": {"membershipMode": "on_request", "dcs": ["a"], "me": number, "fleetSize": COUNT,
+                             "zone": 0, "rules": {"askEveryS": 10.0, "coldFrom": 1.0, "coldS": 0.0},
+                             "policyLimits": {"mostHops": 4, "connIdleS": 30.0, "dialTimeoutS": 0.25},
+                             "tariffs": [{"name": "read", "effect": "idempotent", "gain": 1.0,
+                                          "agreedTimeS": 0.6, "patienceS": 20.0}]}}
+            path = folder / f"{name}.json"
+            path.write_text(json.dumps(told))
+            process = subprocess.Popen([sys.executable, "-m", "pumicepath", "serve"], stdout=subprocess.PIPE,
+                                       env={**os.environ, "GW_CONFIG": str(path)})
+            self.processes.append(process)
+            assert process.stdout is not None
+            started = next(event for event in map(json.loads, process.stdout) if event["event"] == "started")
+            # The log must be read on: nobody may wait for its pipe.
+            threading.Thread(target=lambda pipe=process.stdout: [None for _ in pipe], daemon=True).start()
+            host, _, port = started["listen"].rpartition(":")
+            threading.Thread(target=self.ask, args=(name, (host, int(port))), daemon=True).start()
+
+    def ask(self, name: str, where: tuple[str, int]) -> None:
+        sock, parser = socket.create_connection(where, 30), ResponseParser()
+        sock.settimeout(30)
+        number = 0
+        while not self.over:
+            number += 1
+            headers = [("Host", "api"), ("X-Trace-Id", f"{name}-{number}"), ("X-Qos", "read"),
+                       ("X-Expires-In-Ms", "20000"), ("X-Object", f"key {number % 97}")]
+            try:
+                sock.sendall(writing.request("GET", "/", headers))
+                response = next_of(sock, parser)
+            except OSError as trouble:
+                response = None
+                self.bad.append(f"{name}-{number}: {trouble}")
+            if response is None:
+                self.bad.append(f"{name}-{number}: no answer")
+                return
+            # Before the first list there are no servers: turned away, and asked again.
+            if response.status != 200 and self.counts[name]:
+                self.bad.append(f"{name}-{number}: {response.status} {response.body!r}")
+            self.counts[name] += response.status == 200
+            time.sleep(0.01)
+
+    def end(self) -> None:
+        self.over = True
+        for process in self.processes:
+            process.kill()
+            process.wait()
+
+
+class Fleet:
+    def __init__(self, folder: Path, relays: int = 2, files: int = 0) -> None:
+        self.servers = {name: Server() for name in ("s0", "s1", "s2", "late")}
+        self.origins = {"eu": Origin([self.line("s0"), self.line("s1")]), "us": Origin([self.line("s2")])}
+        self.cuts = {region: Cut(origin.where) for region, origin in self.origins.items()}
+        self.relays = []
+        for number in range(relays):
+            sources: dict[str, Any] = dict(self.origins)
+            if number == 0:
+                sources = self.cuts     # only the first one's ways to the origins can be cut
+            self.relays.append(Relay(folder, sources, f"r{number}", files=files if number == 0 else 0))
+        self.sidecars = Sidecars(folder, self.relays)
+
+    def line(self, name: str, health: str = "active") -> dict[str, Any]:
+        return {**line(name, "cart", health, self.servers[name].port),
+                "dial": f"127.0.0.1:{self.servers[name].port}"}
+
+    def all_send_to(self, name: str, since: float) -> None:
+        until(lambda: self.servers[name].by(since) == set(self.sidecars.counts), FORCE_S)
+
+    def change(self) -> float:
+        """One server drains, and another begins; tells when discovery had it."""
+        self.origins["eu"].put(self.line("s0", "leaving"), self.line("late"))
+        return time.monotonic()
+
+    def judged(self, told: float) -> None:
+        """All go by the change, nobody sent on old word for too long, and nothing was lost."""
+        self.all_send_to("late", 0.0)
+        until(lambda: time.monotonic() > told + TOLD_S + SLACK_S + 1.0)
+        late = [(round(at - told, 2), name) for at, name in self.servers["s0"].met
+                if at > told + TOLD_S + SLACK_S]
+        assert not late, f"sent to a draining server, s after discovery had it: {late[:5]}"
+        now = time.monotonic()
+        self.all_send_to("s1", now)
+        self.all_send_to("s2", now)
+        assert not self.sidecars.bad, self.sidecars.bad[:3]
+
+    def end(self) -> None:
+        self.sidecars.end()
+        for relay in self.relays:
+            relay.kill()
+
+
+@contextmanager
+def fleet(folder: Path, **kinds: int) -> Iterator[Fleet]:
+    made = Fleet(folder, **kinds)
+    try:
+        made.all_send_to("s0", 0.0)
+        made.all_send_to("s2", 0.0)
+        yield made
+    finally:
+        made.end()
+
+
+def killed(made: Fleet) -> float:
+    made.relays[0].kill()
+    return made.change()
+
+
+def stopped(made: Fleet) -> float:
+    made.relays[0].signal(signal.SIGSTOP)
+    told = made.change()
+    threading.Timer(7.0, made.relays[0].signal, (signal.SIGCONT,)).start()
+    return told
+
+
+def cut_off_one_way(made: Fleet) -> float:
+    """The first relay hears nothing of either origin, and who follows it has to look elsewhere."""
+    for cut in made.cuts.values():
+        cut.cut = True
+    # Its followers can't know before it says that it is out of touch.
+    made.relays[0].event("region_lost", 2)
+    return made.change()
+
+
+def discovery_down(made: Fleet) -> float:
+    made.origins["eu"].refuse()
+    made.change()
+    for relay in made.relays:
+        relay.event("region_lost")
+    made.origins["eu"].back()
+    return time.monotonic()
+
+
+def all_restarted(made: Fleet) -> float:
+    for relay in made.relays:
+        relay.kill()
+    made.change()
+    for relay in made.relays:
+        relay.again()
+    # With no relay there is no way from discovery: it can be reached from here on.
+    return time.monotonic()
+
+
+@pytest.mark.parametrize("fault", [killed, stopped, discovery_down, all_restarted])
+def test_a_drain_is_in_force_everywhere_in_time(tmp_path: Path, fault: Callable[[Fleet], float]) -> None:
+    with fleet(tmp_path) as made:
+        made.judged(fault(made))
+
+
+def test_a_relay_that_hears_no_origin_is_left_for_one_that_does(tmp_path: Path) -> None:
+    with fleet(tmp_path) as made:
+        cut_off_one_way(made)
+        made.all_send_to("late", 0.0)
+        left = time.monotonic()
+        until(lambda: time.monotonic() > left + 1.0)
+        assert not [at for at, _ in made.servers["s0"].met if at > left + 0.5]
+        assert not made.sidecars.bad, made.sidecars.bad[:3]
+
+
+def test_a_relay_whose_descriptors_are_taken_serves_those_there_are_and_sends_the_rest_elsewhere(
+        tmp_path: Path) -> None:
+    files = 64
+    assert resource.getrlimit(resource.RLIMIT_NOFILE)[0] > 4 * files
+    with fleet(tmp_path, files=files) as made:
+        taken = []
+        for _ in range(2 * files):
+            with suppress(OSError):
+                taken.append(socket.create_connection(made.relays[0].where, 5))
+        made.relays[0].event("followers_full")
+        # One relay has no room and the other one dies and comes back: whoever was there goes somewhere.
+        made.relays[1].again()
+        made.judged(made.change())
+        for sock in taken:
+            sock.close()
