--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -32,8 +32,12 @@
 
 sys.path.insert(0, str(ROOT))
 
+import calling  # noqa: E402
 import hearing  # noqa: E402
+import holding  # noqa: E402
+import hollow  # noqa: E402
 import peers  # noqa: E402
+import relaying  # noqa: E402
 import telling  # noqa: E402
 
 from pumicepath.compiled import FORM  # noqa: E402
@@ -48,33 +52,55 @@
     what: str
     unit: str
     by: str
-    compiled: bool = True       # whether what it times has a compiled form
+    form: str = ""              # of what it times, where that is not this tree's
 
 
 SERVERS, FOLLOWERS, CHANGES, PEERS = "servers in the list", "followers", "changes a second", "sidecars"
+PLAIN, NO = "interpreted", "neither"
 SERIES = {
     "first_us": Known("a sidecar reads its first whole list", "us", SERVERS),
     "whole_us": Known("a sidecar reads a whole list again", "us", SERVERS),
     "change_us": Known("a sidecar reads one change", "us", SERVERS),
-    "list_bytes": Known("a whole list", "bytes", SERVERS, False),
+    "list_bytes": Known("a whole list", "bytes", SERVERS, NO),
     "met_us": Known("one call's decision, its key met before", "us", SERVERS),
     "new_us": Known("one call's decision, its key new", "us", SERVERS),
-    "told_us": Known("the source answers one watch with a change", "us", FOLLOWERS, False),
-    "told_bytes": Known("that answer", "bytes", FOLLOWERS, False),
+    "told_us": Known("the source answers one watch with a change", "us", FOLLOWERS, PLAIN),
+    "told_bytes": Known("that answer", "bytes", FOLLOWERS, NO),
     "renewed_us": Known("the source ends a watch with nothing new, and takes the next", "us", FOLLOWERS,
-                        False),
-    "last_ms": Known("wall time from one change until the last follower has it", "ms", FOLLOWERS, False),
-    "sent_us": Known("the source sends one whole list to one of 20", "us", SERVERS, False),
-    "sent_many_us": Known("the source sends one whole list of 1,000 servers", "us", FOLLOWERS, False),
+            PLAIN),
+    "last_ms": Known("wall time from one change until the last follower has it", "ms", FOLLOWERS, PLAIN),
+    "sent_us": Known("the source sends one whole list to one of 20", "us", SERVERS, PLAIN),
+    "sent_many_us": Known("the source sends one whole list of 1,000 servers", "us", FOLLOWERS, PLAIN),
     "rest_mb": Known("memory of a `serve` at rest", "MB", SERVERS),
     "rest_cpu_ms": Known("CPU of a `serve` without calls, 12 servers", "ms a second", CHANGES),
-    "rest_bytes": Known("bytes from discovery to a `serve`, 12 servers", "bytes a second", CHANGES),
-    "join_kb": Known("sent by each until its views are right, all begin at once", "kB", PEERS, False),
-    "join_s": Known("until all views are right, all begin at once", "s", PEERS, False),
-    "restart_s": Known("until all views are right, seven in ten restarted", "s", PEERS, False),
-    "peer_messages": Known("messages a second of membership at rest", "a second", PEERS, False),
-    "peer_bytes": Known("bytes a second of membership at rest", "bytes a second", PEERS, False),
-    "peer_cpu_us": Known("CPU of membership at rest", "us a second", PEERS, False),
+    "rest_bytes": Known("bytes from discovery to a `serve`, 12 servers", "bytes a second", CHANGES, NO),
+    "call_cpu_ms": Known("CPU of a call in a `serve`, 150 a second", "ms", SERVERS),
+    "added_p50_ms": Known("added to a call at p50, 150 a second, wall time", "ms", SERVERS),
+    "added_p99_ms": Known("added to a call at p99, 150 a second, wall time", "ms", SERVERS),
+    "calling_mb": Known("memory of a `serve` after calls", "MB", SERVERS),
+    "join_kb": Known("sent by each until its views are right, all begin at once", "kB", PEERS, NO),
+    "join_s": Known("until all views are right, all begin at once", "s", PEERS, NO),
+    "restart_s": Known("until all views are right, seven in ten restarted", "s", PEERS, NO),
+    "peer_messages": Known("messages a second of membership at rest", "a second", PEERS, NO),
+    "peer_bytes": Known("bytes a second of membership at rest", "bytes a second", PEERS, NO),
+    "peer_cpu_us": Known("CPU of membership at rest", "us a second", PEERS, PLAIN),
+    "peer_kb": Known("memory of the membership of one sidecar", "kB", PEERS, PLAIN),
+    "voter_messages": Known("messages a second from a voter, 200 duties", "a second", PEERS, NO),
+    "voter_bytes": Known("bytes a second from a voter, 200 duties", "bytes a second", PEERS, NO),
+    "relay_mb": Known("memory of a relay, 20,000 servers held", "MB", FOLLOWERS),
+    "relay_renewed_us": Known("a relay ends a watch with nothing new, takes the next", "us", FOLLOWERS),
+    "relay_change_us": Known("a relay takes a change and tells whom it concerns, 8 of 1,900 services each",
+                             "us", FOLLOWERS),
+    "relay_whole_us": Known("a relay sends one whole list of 8 services", "us", FOLLOWERS),
+    "relay_whole_bytes": Known("that list", "bytes", FOLLOWERS, NO),
+    "relay_renewed_bytes": Known("a relay's answer with nothing new, one region", "bytes", FOLLOWERS, NO),
+    "hollow_in_force_ms": Known("hollow, relayed: a change in force, p99", "ms", PEERS),
+    "hollow_bytes": Known("hollow, relayed: bytes of lists for one sidecar", "bytes a second", PEERS, NO),
+    "hollow_core": Known("hollow, relayed: CPU of lists of one sidecar", "% of a core", PEERS),
+    "hollow_mb": Known("hollow, relayed: memory of lists of one sidecar", "MB", PEERS),
+    "hollow_control_core": Known("hollow, relayed: all relays together", "cores", PEERS),
+    "hollow_control_mb": Known("hollow, relayed: all relays together", "MB", PEERS),
+    "hollow_control_bytes": Known("hollow, relayed: all relays together", "bytes a second", PEERS, NO),
 }
 
 
@@ -124,9 +150,47 @@
     return {name: {size: told[size][key] for size in sizes} for name, key in names.items()}
 
 
+def of_calls(seed: int) -> Found:
+    found: Found = {}
+    for servers in (4, 12, 100, 400, 1000):
+        for name, value in calling.called(servers, seed=seed).items():
+            # Wall time of a call says nothing of the sidecar while others have the cores.
+            busy = os.getloadavg()[0] > (os.cpu_count() or 1) / 2
+            if not name.startswith("added") or value > 0 and not busy:
+                found.setdefault(name, {})[servers] = value
+    return found
+
+
+def of_duties(seed: int) -> Found:
+    found: Found = {}
+    for count in (10, 30, 100, 300):
+        for name, value in holding.held(count, 200, seed).items():
+            found.setdefault(name, {})[count] = value
+    found["peer_kb"] = {count: holding.member_kb(count) for count in (50, 100, 200, 300)}
+    return found
+
+
+def of_relay() -> Found:
+    found: Found = {}
+    for count in (100, 500, 1000, 2000):
+        for name, value in relaying.relayed(count).items():
+            found.setdefault(name, {})[count] = value
+    return found
+
+
+def of_hollow(seed: int) -> Found:
+    found: Found = {}
+    for sidecars in (500, 1000, 2000, 4000):
+        for name, value in hollow.relayed(sidecars, seed).items():
+            found.setdefault(name, {})[sidecars] = value
+    return found
+
+
 GROUPS: dict[str, Callable[[int], Found]] = {
     "hearing": lambda repeat: of_hearing(), "deciding": lambda repeat: of_deciding(),
     "telling": lambda repeat: of_telling(), "rest": lambda repeat: of_rest(), "members": of_members,
+    "calls": of_calls, "duties": of_duties, "relay": lambda repeat: of_relay(),
+    "hollow": of_hollow,
 }
 
 
@@ -161,9 +225,9 @@
                       f"{SERIES[name].unit}", flush=True)
     form = FORM.partition(":")[0]
     return {name: {"what": SERIES[name].what, "unit": SERIES[name].unit, "by": SERIES[name].by,
-                   "form": form if SERIES[name].compiled else "interpreted", "run": run,
+                   "form": SERIES[name].form or form, "run": run,
                    "points": [[size, found] for size, found in sorted(sizes.items())]}
-            for name, sizes in values.items()}
+            for name, sizes in values.items() if len(sizes) >= slopes.FEWEST}
 
 
 def keep(found: dict[str, Any]) -> None:
--- /dev/null
+++ b/benchmarks/holding.py
@@ -0,0 +1,74 @@
+"""What duties and membership hold, by the size of the fleet: the real decisions on simulated links."""
+
+from __future__ import annotations
+
+import multiprocessing
+import os
+from multiprocessing.connection import Connection
+from pathlib import Path
+from random import Random
+
+from duties import Wanting
+
+from pumicepath.lab.model.links import Links
+from pumicepath.lab.model.timeline import SECOND, Virtual
+from pumicepath.lab.virtual.peers import Peering
+
+VOTERS = 3
+LEASE_S = 10.0
+
+
+def held(count: int, duties: int, seed: int) -> dict[str, float]:
+    """Messages and bytes a second from the busiest voter, each duty wanted by one.
+
+    RuntimeError if any is free then.
+    """
+    fleet = Wanting(count, LEASE_S, [], seed)
+    by = Random(seed)
+    mine: dict[int, list[str]] = {}
+    for number in range(duties):
+        mine.setdefault(by.randrange(count), []).append(f"trial a s-{number}")
+    fleet.time.run(40 * SECOND)
+
+    def want() -> None:
+        for node in fleet.peering.nodes:
+            if node.fellow is not None and node.fellow.duties is not None:
+                node.fellow.duties.want(node.clock(), mine.get(node.number, []))
+                node.wake()
+    fleet.want = want                                                        # type: ignore[method-assign]
+    want()
+    fleet.time.run(fleet.time.now + 20 * SECOND)
+    fleet.links.sent.clear()
+    fleet.links.bytes.clear()
+    fleet.time.run(fleet.time.now + 20 * SECOND)
+    sum_ = sum(len(node.fellow.duties.held(node.clock())) for node in fleet.peering.nodes
+               if node.fellow is not None and node.fellow.duties is not None)
+    if sum_ != duties:
+        raise RuntimeError(f"{sum_} of {duties} duties are held")
+    return {"voter_messages": max(fleet.links.sent[each] for each in range(VOTERS)) / 20,
+            "voter_bytes": max(fleet.links.bytes[each] for each in range(VOTERS)) / 20}
+
+
+def resident_kb() -> float:
+    return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1000
+
+
+def grow(pipe: Connection, count: int) -> None:
+    time_ = Virtual()
+    peering = Peering(time_, Links(time_, 1, 300), 1, count)
+    before = resident_kb()
+    for number in range(count):
+        peering.start(number)
+    time_.run(30 * SECOND)
+    pipe.send((resident_kb() - before) / count)
+
+
+def member_kb(count: int) -> float:
+    """Memory of each sidecar's membership once all know each other, in a process of its own."""
+    context = multiprocessing.get_context("spawn")
+    pipe, theirs = context.Pipe()
+    process = context.Process(target=grow, args=(theirs, count))
+    process.start()
+    found: float = pipe.recv()
+    process.join()
+    return found
--- a/benchmarks/telling.py
+++ b/benchmarks/telling.py
@@ -27,23 +27,25 @@
 MACHINES = 590              # a zone at the target: 20,000 servers in 34
 
 
-def line(number: int, born: int = 0, health: str = "active", dial: str = "") -> dict[str, Any]:
-    """One server of a list, with names as long as those in the protocol's page."""
-    return {"host": f"s-{number * 2654435761 % 2**32:08x}",
+def line(number: int, born: int = 0, health: str = "active", dial: str = "", services: int = 0
+         ) -> dict[str, Any]:
+    """One server of a list, names as long as those in the protocol's page; of a service if there are any."""
+    told = {"service": f"service-{number % services:04d}"} if services else {}
+    return {**told, "host": f"s-{number * 2654435761 % 2**32:08x}",
             "dial": dial or f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:9000",
             "site": f"zone-{number // MACHINES % PLACES:02d}", "class": "m2", "block": number % 97,
             "health": health, "share": 1.0, "born_ms": born}
 
 
-def whole(servers: int, seq: int = 1, dial: str = "") -> dict[str, Any]:
-    hosts = [line(number, 0, "active", dial) for number in range(servers)]
+def whole(servers: int, seq: int = 1, dial: str = "", services: int = 0) -> dict[str, Any]:
+    hosts = [line(number, 0, "active", dial, services) for number in range(servers)]
     return {"seq": seq, "whole": True, "hosts": hosts}
 
 
-def change(seq: int, number: int, dial: str = "") -> dict[str, Any]:
+def change(seq: int, number: int, dial: str = "", services: int = 0) -> dict[str, Any]:
     """One server's new start, which takes its place in the list."""
     return {"seq": seq, "whole": False,
-            "hosts": [line(number, 1_700_000_000_000 + seq * 1000, "active", dial)]}
+            "hosts": [line(number, 1_700_000_000_000 + seq * 1000, "active", dial, services)]}
 
 
 def answer(told: dict[str, Any]) -> bytes:
@@ -64,8 +66,8 @@
 class Loop:
     """The stand-in's one thread; `pipe` brings ("changes", how many, pause in s), ("figures",), ("end",)."""
 
-    def __init__(self, pipe: Connection, servers: int, dial: str) -> None:
-        self.pipe, self.servers, self.dial = pipe, servers, dial
+    def __init__(self, pipe: Connection, servers: int, dial: str, services: int) -> None:
+        self.pipe, self.servers, self.dial, self.services = pipe, servers, dial, services
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=4096)
         self.listener.setblocking(False)
         self.selector = selectors.EpollSelector()
@@ -74,7 +76,7 @@
         self.open: set[Waiting] = set()
         self.seq = 1
         self.lines: list[dict[str, Any]] = []       # of each change
-        self.all = answer(whole(servers, 1, dial))
+        self.all = answer(whole(servers, 1, dial, services))
         self.figures = {"told": 0, "renewed": 0, "wholes": 0, "bytes": 0}
         self.pending = 0
         self.pause = 0.0
@@ -161,7 +163,7 @@
     def change(self) -> None:
         self.pending -= 1
         self.seq += 1
-        told = change(self.seq, self.seq % self.servers, self.dial)
+        told = change(self.seq, self.seq % self.servers, self.dial, self.services)
         self.lines += told["hosts"]
         last = answer(told)
         for one in self.open:
@@ -179,17 +181,17 @@
                 self.write(one, nothing)
 
 
-def stand(pipe: Connection, servers: int, dial: str) -> None:
-    Loop(pipe, servers, dial).run()
+def stand(pipe: Connection, servers: int, dial: str, services: int) -> None:
+    Loop(pipe, servers, dial, services).run()
 
 
 class Origin:
     """The stand-in as a process; `figures` are its own, `cpu` among them in seconds of its processor time."""
 
-    def __init__(self, servers: int, dial: str = "") -> None:
+    def __init__(self, servers: int, dial: str = "", services: int = 0) -> None:
         context = multiprocessing.get_context("spawn")
         self.pipe, theirs = context.Pipe()
-        self.process = context.Process(target=stand, args=(theirs, servers, dial), daemon=True)
+        self.process = context.Process(target=stand, args=(theirs, servers, dial, services), daemon=True)
         self.process.start()
         self.where: tuple[str, int] = self.pipe.recv()
 
@@ -208,16 +210,19 @@
 class Followers:
     """Connections that hold a watch each, read in this process by one selector loop."""
 
-    def __init__(self, where: tuple[str, int], count: int, wait_ms: int = 60_000, seq: int = 1) -> None:
+    def __init__(self, where: tuple[str, int], count: int, wait_ms: int = 60_000, seq: int = 1,
+                 services: Callable[[int], str] | None = None) -> None:
         self.selector = selectors.EpollSelector()
         self.wait_ms = wait_ms
-        self.answers = 0
+        self.answers = self.replies = self.bytes = 0    # replies: refused ones, too
         self.newest: Counter[int] = Counter()       # answers by their version
         self.socks: list[socket.socket] = []
         self.missing: dict[socket.socket, int] = {}     # bytes of an answer that are still to come
-        for _ in range(count):
+        self.services: dict[Any, bytes] = {}            # what each asks for
+        for number in range(count):
             sock = socket.create_connection(where)
             sock.setblocking(False)
+            self.services[sock] = b"services=" + services(number).encode() if services is not None else b""
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.selector.register(sock, selectors.EVENT_READ)
             self.socks.append(sock)
@@ -225,7 +230,9 @@
                 self.ask(sock, seq)
 
     def ask(self, sock: socket.socket, seq: int) -> None:
-        what = b"?since=%d&timeout_ms=%d" % (seq, self.wait_ms) if seq else b""
+        parts = [b"since=%d&timeout_ms=%d" % (seq, self.wait_ms)] if seq else []
+        parts += [self.services[sock]] if self.services[sock] else []
+        what = b"?" + b"&".join(parts) if parts else b""
         sock.send(b"GET /discovery/hosts" + what + b" HTTP/1.1\r\nHost: d\r\n\r\n")
 
     def run(self, until: Callable[[], bool], again: bool = True) -> None:
@@ -239,12 +246,20 @@
 
     def read(self, sock: Any, again: bool) -> None:
         data = sock.recv(1 << 20)
+        self.bytes += len(data)
+        if not data:
+            self.replies += 1
+            self.selector.unregister(sock)
+            return
         if sock in self.missing:
             self.missing[sock] -= len(data)
         else:
             head, _, body = data.partition(b"\r\n\r\n")
             length = re.search(rb"Content-Length: (\d+)", head)
             assert length is not None, head
+            self.replies += 1
+            if not head.startswith(b"HTTP/1.1 200"):
+                return
             self.missing[sock] = int(length[1]) - len(body)
             self.seq = int(re.match(rb'\{"seq":(\d+)', body)[1])    # type: ignore[index]
         if self.missing[sock] <= 0:
@@ -327,7 +342,8 @@
             for sock in followers.socks:
                 followers.ask(sock, 0)
             wanted = followers.answers + count
-            followers.run(lambda wanted=wanted: followers.answers >= wanted, again=False)   # type: ignore[misc]
+            followers.run(lambda wanted=wanted: followers.answers >= wanted,
+            again=False)   # type: ignore[misc]
         after = origin.figures()
         followers.close()
         many = after["wholes"] - before["wholes"]
--- a/pumicepath/lab/capacity/page.py
+++ b/pumicepath/lab/capacity/page.py
@@ -7,7 +7,11 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
+from functools import partial
 
+from . import days, roles
+from .doubled import assumptions
 from .ranking import ranked
 from .rows import cells, short, table
 from .slopes import Capacity
@@ -22,6 +26,16 @@
     return table(["role", *HEAD], lines)
 
 
+def role(name: str, capacity: Capacity) -> str:
+    return table(HEAD, [cells(row, capacity) for row in roles.ROLES[name](capacity, TARGET, ASSUMED)])
+
+
+def of_days(capacity: Capacity) -> str:
+    lines = [line for day in days.days(capacity, TARGET, ASSUMED) for line in days.cells(day, capacity)]
+    return table(["day", "peak", "budget", "over budget", "how known", "formula [slopes]",
+                  "until all is in force", "what is stale meanwhile, and why that breaks no rule"], lines)
+
+
 def slopes(capacity: Capacity) -> str:
     lines = []
     for one in capacity.series.values():
@@ -42,7 +56,10 @@
             f"{told['python']}, numpy {told['numpy']}, orjson {told['orjson']}.")
 
 
-TABLES = {"ranking": ranking, "slopes": slopes, "machine": machine}
+TABLES: dict[str, Callable[[Capacity], str]] = {
+    "ranking": ranking, "slopes": slopes, "machine": machine, "days": of_days,
+    "assumptions": lambda capacity: assumptions(capacity, TARGET, ASSUMED),
+    **{name: partial(role, name) for name in roles.ROLES}}
 
 
 def written(text: str, capacity: Capacity) -> str:
--- a/pumicepath/lab/capacity/ranking.py
+++ b/pumicepath/lab/capacity/ranking.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .rows import MISSING, Row
-from .slopes import Capacity, Figure, exact
+from .slopes import Capacity, Figure, exact, reckoned
 from .target import Assumed, Target
 
 LISTS, CALLS, PEERS, CONTROL, OPERATOR = (
@@ -34,10 +34,12 @@
     size = capacity.at("list_bytes", n)
     join = capacity.at("join_kb", n)
     return [
-        Row(LISTS, "all sidecars come back: whole lists to all, the source's CPU", sent.times(n / 1e6), "s",
+        Row(LISTS, "all sidecars come back: whole lists to all, the source's CPU",
+            sent.times(reckoned(n / 1e6)), "s",
             target.in_force_s, "sidecars x CPU of sending a list of 20,000, as it is with 1,000 followers",
             ("sent_us", "sent_many_us"), SOURCE),
-        Row(LISTS, "the same, bytes over one 10 Gbit line", size.times(n / assumed.network), "s",
+        Row(LISTS, "all sidecars come back: bytes over one 10 Gbit line",
+            size.times(reckoned(n / assumed.network)), "s",
             target.in_force_s, "sidecars x bytes of a list / 1.25 GB a second", ("list_bytes",), SOURCE),
         Row(LISTS, "a whole list, bytes to one sidecar within 6 s", size.over(1000.0), "kB", bytes_ / 1000,
             "bytes of a list of 20,000; 6 s x 7 KB", ("list_bytes",), EACH),
@@ -46,25 +48,29 @@
         Row(LISTS, "memory of a sidecar that has the list", capacity.at("rest_mb", n), "MB", target.mb,
             "memory at rest with 20,000 listed", ("rest_mb",), EACH),
         Row(LISTS, "a zone lost: 590 changes to all, each told for itself, the source's CPU",
-            told.times(target.zone * n / 1e6), "s", target.in_force_s, "590 x sidecars x CPU of telling one",
+            told.times(reckoned(target.zone * n / 1e6)), "s", target.in_force_s,
+            "590 x sidecars x CPU of telling one",
             ("told_us",), SOURCE),
-        Row(LISTS, "changes at ten times the mean, the source's CPU", told.times(n * peak / 1e6), "cores",
+        Row(LISTS, "changes at ten times the mean, the source's CPU", told.times(reckoned(n * peak / 1e6)),
+            "cores",
             1.0, "10 x changes a second x sidecars x CPU of telling one; one thread", ("told_us",), SOURCE),
         Row(LISTS, "changes at ten times the mean, CPU at one sidecar",
-            capacity.at("change_us", n).times(peak / 1e6 * 100), "% of a core", target.core * 100,
+            capacity.at("change_us", n).times(reckoned(peak / 1e6 * 100)), "% of a core", target.core * 100,
             "10 x changes a second x CPU of reading one among 20,000", ("change_us",), EACH),
         Row(LISTS, "watches renewed at rest, the source's CPU",
-            capacity.at("renewed_us", n).times(n / assumed.renewal_s / 1e6), "cores", 1.0,
+            capacity.at("renewed_us", n).times(reckoned(n / assumed.renewal_s / 1e6)), "cores", 1.0,
             "sidecars / 15 s x CPU of a renewal; one thread", ("renewed_us",), SOURCE),
         Row(CALLS, "one decision, all servers in one list as today, key new",
             capacity.at("new_us", n).over(1000.0), "ms", target.added_ms,
             "CPU of a decision among 20,000", ("new_us",), PICK),
-        Row(CALLS, "the same, only the servers of its services and the largest one",
+        Row(CALLS, "one decision, its usual services and the largest",
             capacity.at("new_us", assumed.listed_most).over(1000.0), "ms", target.added_ms,
             "CPU of a decision among 8 x 10.5 + 2,500", ("new_us",), PICK),
-        Row(CALLS, "the same, usual services only", capacity.at("new_us", assumed.listed).over(1000.0), "ms",
+        Row(CALLS, "one decision, usual services only", capacity.at("new_us", assumed.listed).over(1000.0),
+            "ms",
             target.added_ms, "CPU of a decision among 8 x 10.5", ("new_us",), PICK),
-        Row(CALLS, "the same, 13 deep", capacity.at("new_us", assumed.listed).times(target.depth / 1000),
+        Row(CALLS, "13 decisions, usual services only", capacity.at("new_us",
+            assumed.listed).times(reckoned(target.depth / 1000)),
             "ms", target.added_ms, "13 x CPU of a decision among 8 x 10.5", ("new_us",), PICK),
         Row(PEERS, "join, bytes sent by each, over 7 KB a second", join.times(1000 / target.bytes_s), "s",
             None, "kB sent until views are right / 7 KB a second", ("join_kb",), MEMBERS),
--- a/pumicepath/lab/capacity/rows.py
+++ b/pumicepath/lab/capacity/rows.py
@@ -7,15 +7,19 @@
 from .slopes import FAR, Capacity, Figure
 
 MISSING = "*missing*"
+UNMEASURED = "*not measured*"
 
 
 @dataclass(frozen=True)
 class Row:
-    """`budget` is None where the target sets none; `series` are the slopes that the formula uses."""
+    """`budget` is None where the target sets none; `series` are the slopes that the formula uses.
+
+    `value` is None where those were not measured.
+    """
 
     role: str
     what: str
-    value: Figure
+    value: Figure | None
     unit: str
     budget: float | None
     formula: str
@@ -25,7 +29,7 @@
     @property
     def factor(self) -> float:
         """Over its budget; 0 where there is none."""
-        return self.value.value / self.budget if self.budget else 0.0
+        return self.value.value / self.budget if self.budget and self.value is not None else 0.0
 
 
 def short(value: float) -> str:
@@ -38,16 +42,17 @@
     return f"{float(f'{value:.3g}'):g}"
 
 
-def known(figure: Figure) -> str:
+def known(figure: Figure, series: tuple[str, ...] = ()) -> str:
     """How it is known, and from how far."""
-    if figure.kind != "extrapolated":
-        return figure.kind
-    return f"extrapolated, x {short(figure.beyond)}" + (
+    told = "reckoned from slopes" if figure.kind == "reckoned" and series else figure.kind
+    if figure.beyond <= 1:
+        return told
+    return f"{told}, extrapolated x {short(figure.beyond)}".replace("extrapolated, ", "", 1) + (
         f" (**more than {FAR:g} times the largest measured size**)" if figure.beyond > FAR else "")
 
 
 def forms(row: Row, capacity: Capacity) -> str:
-    found = sorted({capacity[name].form for name in row.series})
+    found = sorted({capacity[name].form for name in row.series} - {"neither"})
     return " and ".join(found)
 
 
@@ -55,15 +60,18 @@
     """The factor over the budget, in bold where it is missed."""
     if not row.budget:
         return "no budget"
+    if row.value is None:
+        return UNMEASURED
     return f"**{short(row.factor)}**" if row.factor > 1 else short(row.factor)
 
 
 def cells(row: Row, capacity: Capacity) -> list[str]:
-    how = known(row.value)
-    if row.series:
-        how += f", {forms(row, capacity)}"
-    return [row.what, f"{short(row.value.value)} {row.unit}",
-            f"{short(row.budget)} {row.unit}" if row.budget else "none", against(row), how,
+    if row.value is None:
+        figure = how = UNMEASURED
+    else:
+        figure, form = f"{short(row.value.value)} {row.unit}".strip(), forms(row, capacity)
+        how = known(row.value, row.series) + (f", {form}" if form else "")
+    return [row.what, figure, f"{short(row.budget)} {row.unit}" if row.budget else "none", against(row), how,
             row.formula + (f" [{', '.join(row.series)}]" if row.series else ""), row.mechanism]
 
 
--- a/pumicepath/lab/capacity/slopes.py
+++ b/pumicepath/lab/capacity/slopes.py
@@ -48,8 +48,13 @@
         return Figure(self.value + other.value, *worse(self, other))
 
 
+def reckoned(value: float) -> Figure:
+    """Of the target or an assumption: what is multiplied by it was not measured at that many."""
+    return Figure(value, "reckoned")
+
+
 def exact(number: Figure | float) -> Figure:
-    """Of the target or an assumption, which take nothing from how the other was found."""
+    """A change of unit, which takes nothing from how the other was found."""
     return number if isinstance(number, Figure) else Figure(float(number), "measured")
 
 
@@ -140,6 +145,10 @@
     def at(self, name: str, size: float) -> Figure:
         return self[name].at(size)
 
+    def maybe(self, name: str, size: float) -> Figure | None:
+        """None where it was not measured: for what needs an idle machine, or many processes."""
+        return self.series[name].at(size) if name in self.series else None
+
 
 def keyed(data: Any, where: str, keys: Sequence[str]) -> dict[str, Any]:
     """An object with these keys and no others."""
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from pumicepath.lab.capacity import page, ranking, rows
+from pumicepath.lab.capacity import days, doubled, page, ranking, roles, rows
 from pumicepath.lab.capacity.slopes import BadCapacity, Capacity, Figure, decode, line
 from pumicepath.lab.capacity.target import ASSUMED, TARGET, Assumed
 
@@ -28,6 +28,18 @@
     return decode({"machine": DATA["machine"], "series": told})
 
 
+def flat(**named: float) -> Capacity:
+    """The file's series, some of them the same at all sizes."""
+    changed = copy.deepcopy(DATA)
+    for name, value in named.items():
+        changed["series"][name] = series([[size, [value]] for size in (0.1, 10, 1000, 100_000)])
+    return decode(changed)
+
+
+def row(known: Capacity, role: str, begins: str) -> rows.Row:
+    return next(row for row in roles.ROLES[role](known, TARGET, ASSUMED) if row.what.startswith(begins))
+
+
 STRAIGHT = [[10, [30, 30, 31]], [20, [50]], [30, [70, 60, 80]], [40, [90]]]      # 10 + 2 n
 
 
@@ -81,8 +93,12 @@
 
 def test_a_figure_says_how_it_is_known() -> None:
     assert rows.known(Figure(1, "measured")) == "measured"
-    assert rows.known(Figure(1, "extrapolated", 4)) == "extrapolated, x 4"
-    assert "more than 20 times" in rows.known(Figure(1, "extrapolated", 25))
+    assert rows.known(Figure(1, "extrapolated", 4)) == "extrapolated x 4"
+    assert rows.known(Figure(1, "reckoned", 4), ("a",)) == "reckoned from slopes, extrapolated x 4"
+    assert rows.known(Figure(1, "reckoned"), ("a",)) == "reckoned from slopes"
+    assert rows.known(Figure(1, "reckoned")) == "reckoned"
+    assert "more than 20 times" in rows.known(Figure(1, "reckoned", 25), ("a",))
+    assert "more than 20 times" not in rows.known(Figure(1, "extrapolated", 20))
     told = [rows.short(value) for value in (0.12345, 9.999, 123.4, 12_345.6)]
     assert told == ["0.123", "10", "123", "12,300"]
 
@@ -114,6 +130,58 @@
     assert worst == sorted(worst, reverse=True) and len(ordered) == len(found)
 
 
+def test_a_relay_by_hand() -> None:
+    known = flat(relay_renewed_us=100, relay_change_us=1000, relay_whole_bytes=14_000, relay_whole_us=300)
+    # 1,000 followers each 2.25 s at 100 us, and 65,920 changes a day at 1 ms.
+    at_rest, changes = 1000 / 2.25 * 100 / 1e6, 65_920 / 86_400 * 1000 / 1e6
+    assert row(known, "control",
+            "CPU").value.value == pytest.approx(100 * (at_rest + changes))  # type: ignore
+    assert row(known, "control",
+            "CPU, one down").value.value == pytest.approx(                  # type: ignore
+        100 * (2 * at_rest + 10 * changes))
+    found = {day.name: day for day in days.days(known, TARGET, ASSUMED)}
+    usual, largest, spent = found["all control machines restarted"].peaks
+    assert usual.value.value == pytest.approx(20_000 * 14_000 / 20 / 4e6)                        # type: ignore
+    assert largest.value.value == pytest.approx(                                                 # type: ignore
+        20_000 * (0.9 * 14_000 + 0.1 * 2584 * 14_000 / (160_000 / 1900)) / 20 / 4e6)
+    assert spent.value.value == pytest.approx(1000 * 300 / 1e6)                                  # type: ignore
+    zone = found["a zone, 590 at once"].peaks[0]
+    assert zone.value.value == pytest.approx(100 * (at_rest + 590 / 6 * 1000 / 1e6))             # type: ignore
+
+
+def test_a_sidecar_by_hand() -> None:
+    known = flat(call_cpu_ms=0.5, relay_renewed_bytes=160, rest_mb=25)
+    assert row(known, "data-path", "CPU, usual").value == Figure(7.5, "measured")       # 150 x 0.5 ms, in %
+    assert row(known, "data-path", "the same 13 deep").factor == pytest.approx(13 * 0.5 / 1.8)
+    at_rest = row(known, "lists", "bytes at rest")
+    assert at_rest.value is not None and at_rest.value.kind == "reckoned"
+    assert at_rest.value.value == pytest.approx((160 + 9 * 36 + 260) / 2.25)
+    assert row(known, "lists", "memory, usual").factor == pytest.approx(25 / 32)
+
+
+def test_what_was_not_measured_is_said_so() -> None:
+    changed = copy.deepcopy(DATA)
+    for name in [name for name in changed["series"] if name.startswith(("hollow_", "added_"))]:
+        del changed["series"][name]
+    known = decode(changed)
+    told = row(known, "change", "a change of servers' entries")
+    assert told.value is None and told.factor == 0
+    assert rows.cells(told, known)[1:5] == [rows.UNMEASURED, "6 s", rows.UNMEASURED, rows.UNMEASURED]
+    ordinary = days.cells(days.days(known, TARGET, ASSUMED)[0], known)
+    assert rows.UNMEASURED in ordinary[0][6]
+    assert rows.UNMEASURED in page.written((DOCS / "CAPACITY.md").read_text(), known)
+
+
+def test_what_twice_an_assumption_changes() -> None:
+    known = flat(call_cpu_ms=0.5)
+    found = doubled.changed(known, TARGET, ASSUMED, "calls_each")
+    assert found and "with the largest service: 7.5 to 15 of 100 % of a core" in found[0][2]
+    for name in doubled.TAKEN:
+        assert hasattr(ASSUMED, name)
+        told = doubled.changed(known, TARGET, ASSUMED, name)
+        assert told == sorted(told, reverse=True)
+
+
 ODD: list[tuple[tuple[Any, ...], Any, str]] = [
     (("machine",), None, "machine is missing"),
     (("machine", "cores"), None, "machine.cores is missing"),
