--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -16,7 +16,7 @@
 import re
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from datetime import UTC, datetime
 from pathlib import Path
@@ -98,6 +98,12 @@
     "hollow_bytes": Known("hollow, relayed: bytes of lists for one sidecar", "bytes a second", PEERS, NO),
     "hollow_core": Known("hollow, relayed: CPU of lists of one sidecar", "% of a core", PEERS),
     "hollow_mb": Known("hollow, relayed: memory of lists of one sidecar", "MB", PEERS),
+    "direct_in_force_ms": Known("hollow, direct: a change in force, p99", "ms", PEERS),
+    "direct_mb": Known("hollow, direct: memory of lists of one sidecar", "MB", PEERS),
+    "direct_core": Known("hollow, direct: CPU of lists of one sidecar", "% of a core", PEERS),
+    "direct_origin_core": Known("hollow, direct: the one discovery", "cores", PEERS, PLAIN),
+    "direct_lag_ms": Known("hollow, direct: how late the rig's own loops were at most", "ms", PEERS),
+    "hollow_lag_ms": Known("hollow, relayed: how late the rig's own loops were at most", "ms", PEERS),
     "hollow_control_core": Known("hollow, relayed: all relays together", "cores", PEERS),
     "hollow_control_mb": Known("hollow, relayed: all relays together", "MB", PEERS),
     "hollow_control_bytes": Known("hollow, relayed: all relays together", "bytes a second", PEERS, NO),
@@ -212,6 +218,38 @@
     return git("rev-parse", "--short", "HEAD").strip() + ("+" if changed.strip() else "")
 
 
+def taken(paths: Sequence[Path]) -> dict[str, Any]:
+    """Series of recorded runs of `lab scale`."""
+    runs = hollow.recorded(paths)
+    if not runs:
+        raise click.BadParameter("no run that ended with a result", param_hint="--scale")
+    found: dict[str, Any] = {}
+    for form in ("direct", "relayed"):
+        found |= of_runs([one for one in runs if one["result"]["form"] == form])
+    return found
+
+
+def of_runs(runs: list[dict[str, Any]]) -> dict[str, Any]:
+    if len({one["result"]["sidecars"] for one in runs}) < slopes.FEWEST:
+        return {}
+    run = {"date": datetime.now(UTC).strftime("%Y-%m-%d ") + max(one["at"][:5] for one in runs),
+           "commit": "as recorded", "load": max(one["result"]["load_average"] for one in runs),
+           "command": max(runs, key=lambda one: one["result"]["sidecars"])["command"]}
+    values: dict[str, dict[float, list[float]]] = {}
+    for one in runs:
+        for name, value in hollow.figures(one["result"]).items():
+            sizes = values.setdefault(name, {})
+            sizes.setdefault(one["result"]["sidecars"], []).append(float(f"{value:.4g}"))
+    return {name: series(name, sizes, run) for name, sizes in values.items()}
+
+
+def series(name: str, sizes: dict[float, list[float]], run: dict[str, Any]) -> dict[str, Any]:
+    known = SERIES[name]
+    return {"what": known.what, "unit": known.unit, "by": known.by, "run": run,
+            "form": known.form or FORM.partition(":")[0],
+            "points": [[size, found] for size, found in sorted(sizes.items())]}
+
+
 def measure(group: str, repeats: int) -> dict[str, Any]:
     run = {"date": datetime.now(UTC).strftime("%Y-%m-%d %H:%M"), "commit": commit(),
            "load": round(os.getloadavg()[0], 1),
@@ -223,11 +261,7 @@
                 values.setdefault(name, {}).setdefault(size, []).append(float(f"{value:.4g}"))
                 print(f"{group} {repeat + 1}: {SERIES[name].what}, {size:,} {SERIES[name].by}: {value:.4g} "
                       f"{SERIES[name].unit}", flush=True)
-    form = FORM.partition(":")[0]
-    return {name: {"what": SERIES[name].what, "unit": SERIES[name].unit, "by": SERIES[name].by,
-                   "form": SERIES[name].form or form, "run": run,
-                   "points": [[size, found] for size, found in sorted(sizes.items())]}
-            for name, sizes in values.items() if len(sizes) >= slopes.FEWEST}
+    return {name: series(name, sizes, run) for name, sizes in values.items() if len(sizes) >= slopes.FEWEST}
 
 
 def keep(found: dict[str, Any]) -> None:
@@ -250,9 +284,13 @@
 @click.command()
 @click.option("--only", multiple=True, type=click.Choice(list(GROUPS)), help="These groups; else all.")
 @click.option("--repeats", default=3, show_default=True, help="Of each group; tables go by the middle.")
+@click.option("--scale", multiple=True, type=click.Path(exists=True, path_type=Path),
+              help="Runs of `lab scale --json`, one a line, in place of the group hollow; measures nothing.")
 @click.option("--write-page", is_flag=True, help="Write the page's tables from the file and measure nothing.")
-def main(only: tuple[str, ...], repeats: int, write_page: bool) -> None:
-    if not write_page:
+def main(only: tuple[str, ...], repeats: int, scale: tuple[Path, ...], write_page: bool) -> None:
+    if scale:
+        keep(taken(scale))
+    elif not write_page:
         for group in only or tuple(GROUPS):
             keep(measure(group, repeats))
     try:
--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -6,6 +6,9 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
 
 from trees import ROOT
 
@@ -22,10 +25,27 @@
         run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
     if run.returncode:
         raise RuntimeError(f"lab scale ended with {run.returncode}: {run.stdout[-300:]} {run.stderr[-300:]}")
-    told = json.loads(run.stdout.splitlines()[-1])
+    return figures(json.loads(run.stdout.splitlines()[-1]))
+
+
+def figures(told: dict[str, Any]) -> dict[str, float]:
+    """Of one run's result, by the names of our series."""
+    if told["form"] == "direct":
+        return {"direct_in_force_ms": told["in_force_s"]["p99"] * 1000, "direct_mb": told["mb_each"],
+                "direct_core": told["core_share_each"] * 100, "direct_lag_ms": told["rig_lag_s"] * 1000,
+                "direct_origin_core": told["origins"]["core_share"]}
     control = told["control"]
     return {"hollow_in_force_ms": told["in_force_s"]["p99"] * 1000,
             "hollow_bytes": told["bytes_s_each"]["mean"], "hollow_core": told["core_share_each"] * 100,
             "hollow_mb": told["mb_each"],
             "hollow_control_core": control["core_share"], "hollow_control_mb": control["mb"],
-            "hollow_control_bytes": control["bytes_s"]}
+            "hollow_control_bytes": control["bytes_s"], "hollow_lag_ms": told["rig_lag_s"] * 1000}
+
+
+def recorded(paths: Iterable[Path]) -> list[dict[str, Any]]:
+    """Runs that were recorded, one a line with command, exit and result: those without faults.
+
+    Those that ended badly are among them: what was measured is not chosen by whether it is liked.
+    """
+    runs = [json.loads(line) for path in paths for line in path.read_text().splitlines() if line.strip()]
+    return [run for run in runs if "result" in run and not run["result"]["faults"]]
--- a/pumicepath/lab/capacity/ranking.py
+++ b/pumicepath/lab/capacity/ranking.py
@@ -25,6 +25,8 @@
     n, peak = target.servers, changes_s(target, assumed) * assumed.peak
     cpu_s, bytes_ = target.core * target.in_force_s, target.bytes_s * target.in_force_s
     told = capacity.at("told_us", n)
+    late = capacity.maybe("direct_in_force_ms", n)
+    in_force = late.over(1000) if late is not None else None
     # By its size a list's cost was measured with 20 followers.  How that grows with them was measured at one
     # size and is nearly flat; the slope of that would be noise far out, so what the largest following adds is
     # taken for all that it adds.
@@ -47,6 +49,11 @@
             cpu_s, "CPU of reading the first list; 6 s x 2%", ("first_us",), EACH),
         Row(LISTS, "memory of a sidecar that has the list", capacity.at("rest_mb", n), "MB", target.mb,
             "memory at rest with 20,000 listed", ("rest_mb",), EACH),
+        Row(LISTS, "memory of lists alone, by hollow sidecars", capacity.maybe("direct_mb", n), "MB",
+            target.mb,
+            "runs of up to 1,850 sidecars, each with all servers", ("direct_mb",), EACH),
+        Row(LISTS, "a change in force, p99, by hollow sidecars", in_force, "s", target.in_force_s,
+            "the same runs; the rig was late as well: `direct_lag_ms`", ("direct_in_force_ms",), SOURCE),
         Row(LISTS, "a zone lost: 590 changes to all, each told for itself, the source's CPU",
             told.times(reckoned(target.zone * n / 1e6)), "s", target.in_force_s,
             "590 x sidecars x CPU of telling one",
--- a/pumicepath/lab/capacity/roles.py
+++ b/pumicepath/lab/capacity/roles.py
@@ -75,9 +75,10 @@
             "(a call and an answer with nothing new, 10 regions) / 2.25 s", ("relay_renewed_bytes",), WATCH),
         Row("", "the same, by hollow sidecars", capacity.maybe("hollow_bytes", target.servers),
             "bytes a second",
-            target.bytes_s, "from runs with 0.76 changes a second", ("hollow_bytes",), WATCH),
+            target.bytes_s, "from runs with 0.7 changes a second, 5 services each", ("hollow_bytes",), WATCH),
         Row("", "CPU of lists alone, by hollow sidecars", capacity.maybe("hollow_core", target.servers),
-            "% of a core", target.core * 100, "from runs with 0.76 changes a second", ("hollow_core",),
+            "% of a core", target.core * 100, "from runs with 0.7 changes a second, 5 services each",
+            ("hollow_core",),
             WATCH),
         Row("", "memory of lists alone, by hollow sidecars", capacity.maybe("hollow_mb", target.servers),
             "MB",
@@ -181,7 +182,7 @@
             "resident; a machine's 16 GB", ("relay_mb",), RELAY),
         Row("", "CPU of all relays, by hollow sidecars", capacity.maybe("hollow_control_core",
             target.servers),
-            "cores", target.machines, "from runs with 0.76 changes a second; a core each",
+            "cores", target.machines, "from runs with 0.7 changes a second, 5 services each; a core each",
             ("hollow_control_core",),
             RELAY),
     ]
@@ -213,10 +214,14 @@
 def of_change(capacity: Capacity, target: Target, assumed: Assumed) -> list[Row]:
     way = "`relay/upstreams.py`, `relay/loop.py`, `discovery/watch.py`"
     told = capacity.maybe("hollow_in_force_ms", target.servers)
+    lag = capacity.maybe("hollow_lag_ms", target.servers)
     return [
         Row("", "a change of servers' entries in force, p99", told.over(1000) if told is not None else None,
             "s", target.in_force_s, "hollow sidecars, real relays", ("hollow_in_force_ms",), way),
-        Row("", "the same where its relay has just fallen silent",
+        Row("", "in that run, how late the rig itself was at most",
+            lag.over(1000) if lag is not None else None,
+            "s", None, "its loops, of all processes", ("hollow_lag_ms",), "none"),
+        Row("", "where a relay has just fallen silent",
             reckoned(assumed.silent_s + 0.5 + 2 * assumed.batch_s), "s", target.in_force_s,
             "3.4 s of silence, a pause of up to 0.5 s, two batches of 0.05 s", (), "`distribution/homes.py`"),
         Row("", "ways for a change of sidecars' own settings", exact(0.0), "", None,
--- a/pumicepath/lab/capacity/slopes.py
+++ b/pumicepath/lab/capacity/slopes.py
@@ -115,7 +115,7 @@
         """Between measured sizes on the straight line between their middles.
 
         Beyond the largest by the line through all of them where that is one, else by that through the last
-        two; below the smallest that one's.
+        two; below the smallest that one's.  A line that falls is not followed beyond what was measured.
         """
         middles = self.middles
         least, most = middles[0], middles[-1]
@@ -127,7 +127,8 @@
         found = self.line
         if not found.linear:
             found = line(middles[-2:])
-        return Figure(found.at(size), "extrapolated", size / most[0])
+        value = found.at(size) if found.slope > 0 else most[1]
+        return Figure(value, "extrapolated", size / most[0])
 
 
 @dataclass(frozen=True)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -81,6 +81,8 @@
     far = known.at("straight", 1000)
     assert (far.value, far.kind, far.beyond) == (pytest.approx(2010), "extrapolated", 25)
     assert known.at("bent", 300).value == pytest.approx(70_000)     # by the line through the last two points
+    falling = capacity(falling=[[1, [40]], [2, [30]], [3, [20]], [4, [10]]])
+    assert falling.at("falling", 100).value == 10       # and not below nothing
     assert known["straight"].spread == pytest.approx(20 / 70)
 
 
@@ -161,7 +163,7 @@
 
 def test_what_was_not_measured_is_said_so() -> None:
     changed = copy.deepcopy(DATA)
-    for name in [name for name in changed["series"] if name.startswith(("hollow_", "added_"))]:
+    for name in [name for name in changed["series"] if name.startswith(("hollow_", "direct_", "added_"))]:
         del changed["series"][name]
     known = decode(changed)
     told = row(known, "change", "a change of servers' entries")
