--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -2,6 +2,7 @@
 
     .venv/bin/python benchmarks/capacity.py                    # all of it, and then the page: half an hour
     .venv/bin/python benchmarks/capacity.py --only hearing --only telling --repeats 5
+    PUMICEPATH_INTERPRETED=1 .venv/bin/python benchmarks/capacity.py --only deciding   # beside compiled ones
     .venv/bin/python benchmarks/capacity.py --write-page       # the tables from the file, nothing measured
 
 Each group measures its series at four sizes or more in one run; what it has measured takes the place of the
@@ -100,6 +101,14 @@
     "hollow_bytes": Known("hollow, relayed: bytes of lists for one sidecar", "bytes a second", PEERS, NO),
     "hollow_core": Known("hollow, relayed: CPU of lists of one sidecar", "% of a core", PEERS),
     "hollow_mb": Known("hollow, relayed: memory of lists of one sidecar", "MB", PEERS),
+    **{f"{fault}_s": Known(f"hollow, relayed: {text}, from its end until all is in force", "s", PEERS)
+       for fault, text in (("control-restarted", "all relays restarted"), ("zone-lost",
+            "a zone gone and back"),
+                           ("region-cut", "a region's discovery cut off from other regions' relays"))},
+    **{f"{side}_{name}": Known(f"{text}, {side}, 100 side by side", unit, SERVERS, form)
+       for side in ("real", "hollow") for name, text, unit, form in (
+           ("list_mb", "memory of a sidecar", "MB", ""), ("told_us", "CPU of a change told", "us", ""),
+           ("told_bytes", "bytes of a change told", "bytes", NO))},
     "direct_in_force_ms": Known("hollow, direct: a change in force, p99", "ms", PEERS),
     "direct_mb": Known("hollow, direct: memory of lists of one sidecar", "MB", PEERS),
     "direct_core": Known("hollow, direct: CPU of lists of one sidecar", "% of a core", PEERS),
@@ -232,11 +241,27 @@
     if not runs:
         raise click.BadParameter("no run that ended with a result", param_hint="--scale")
     found: dict[str, Any] = {}
-    for form in ("direct", "relayed"):
-        found |= of_runs([one for one in runs if one["result"]["form"] == form])
+    groups: dict[tuple[Any, ...], list[dict[str, Any]]] = {}
+    for one in runs:
+        groups.setdefault((one["result"]["form"], *one["result"]["faults"]), []).append(one)
+    for group in groups.values():
+        found |= of_runs(group)
+    found |= of_pairs(hollow.pairs(paths))
     return found
 
 
+def of_pairs(pairs: list[dict[str, Any]]) -> dict[str, Any]:
+    """Hollow sidecars beside real ones, as benchmarks/hollow_against_real.py tells of them."""
+    if len({one["servers"] for one in pairs}) < slopes.FEWEST:
+        return {}
+    run = {"date": datetime.now(UTC).strftime("%Y-%m-%d %H:%M"), "commit": "as recorded",
+           "load": max(one["load_average"] for one in pairs), "command": "benchmarks/hollow_against_real.py"}
+    names = {f"{side}_{name}": (side, key) for side in ("real", "hollow") for name, key in (
+        ("list_mb", "mb_each"), ("told_us", "us_a_change"), ("told_bytes", "bytes_a_change"))}
+    return {name: series(name, {one["servers"]: [float(f"{one[side][key]:.4g}")] for one in pairs}, run)
+            for name, (side, key) in names.items()}
+
+
 def of_runs(runs: list[dict[str, Any]]) -> dict[str, Any]:
     if len({one["result"]["sidecars"] for one in runs}) < slopes.FEWEST:
         return {}
@@ -246,6 +271,8 @@
     values: dict[str, dict[float, list[float]]] = {}
     for one in runs:
         for name, value in hollow.figures(one["result"]).items():
+            if name not in SERIES:
+                continue
             sizes = values.setdefault(name, {})
             sizes.setdefault(one["result"]["sidecars"], []).append(float(f"{value:.4g}"))
     return {name: series(name, sizes, run) for name, sizes in values.items()}
@@ -269,7 +296,11 @@
                 values.setdefault(name, {}).setdefault(size, []).append(float(f"{value:.4g}"))
                 print(f"{group} {repeat + 1}: {SERIES[name].what}, {size:,} {SERIES[name].by}: {value:.4g} "
                       f"{SERIES[name].unit}", flush=True)
-    return {name: series(name, sizes, run) for name, sizes in values.items() if len(sizes) >= slopes.FEWEST}
+    found = {name: series(name, sizes, run) for name, sizes in values.items() if len(sizes) >= slopes.FEWEST}
+    if FORM == "compiled":
+        return found
+    # With PUMICEPATH_INTERPRETED=1 what has a compiled form stands beside that, and the rest is as it was.
+    return {f"{name}_interpreted": one for name, one in found.items() if not SERIES[name].form}
 
 
 def keep(found: dict[str, Any]) -> None:
--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -30,6 +30,8 @@
 
 def figures(told: dict[str, Any]) -> dict[str, float]:
     """Of one run's result, by the names of our series."""
+    if told["faults"]:
+        return {f"{told['faults'][0]}_s": told["recovered_s"]} if told["form"] == "relayed" else {}
     if told["form"] == "direct":
         return {"direct_in_force_ms": told["in_force_s"]["p99"] * 1000, "direct_mb": told["mb_each"],
                 "direct_core": told["core_share_each"] * 100, "direct_lag_ms": told["rig_lag_s"] * 1000,
@@ -43,9 +45,15 @@
 
 
 def recorded(paths: Iterable[Path]) -> list[dict[str, Any]]:
-    """Runs that were recorded, one a line with command, exit and result: those without faults.
+    """Runs that were recorded, one a line with command, exit and result: without faults, or with one.
 
     Those that ended badly are among them: what was measured is not chosen by whether it is liked.
     """
     runs = [json.loads(line) for path in paths for line in path.read_text().splitlines() if line.strip()]
-    return [run for run in runs if "result" in run and not run["result"]["faults"]]
+    return [run for run in runs if "result" in run and len(run["result"]["faults"]) < 2]
+
+
+def pairs(paths: Iterable[Path]) -> list[dict[str, Any]]:
+    """Lines of benchmarks/hollow_against_real.py, one for each size of the list."""
+    told = [json.loads(line) for path in paths for line in path.read_text().splitlines() if line.strip()]
+    return sorted((one for one in told if "real" in one and "servers" in one), key=lambda one: one["servers"])
--- a/pumicepath/lab/capacity/days.py
+++ b/pumicepath/lab/capacity/days.py
@@ -36,6 +36,14 @@
     line = roles.line_bytes(capacity, assumed)
     told = capacity.maybe("hollow_in_force_ms", target.servers)
     in_force = told.over(1000) if told is not None else None
+    def hollow(fault: str, else_: Figure | None) -> tuple[Figure | None, str]:
+        """From the end of a fault until all is in force, by hollow runs where there are any."""
+        name = f"{fault}_s"
+        if name not in capacity.series:
+            return else_, ""
+        size, value = capacity[name].middles[-1]
+        return capacity.at(name, target.servers), (
+            f"hollow runs, from its end [{name}: {short(value)} s at {short(size)}]")
     silent = reckoned(assumed.silent_s + 0.5 + 2 * assumed.batch_s)
     relays = target.regions * assumed.relays
 
@@ -68,6 +76,9 @@
     released = target.servers * assumed.steps / assumed.release_s
     zone_lists, zone_lists_s = wholes(target.zone, relays / target.regions)
     all_lists, all_lists_s = wholes(target.servers, relays)
+    zone_s, zone_by = hollow("zone-lost", in_force)
+    cut_s, cut_by = hollow("region-cut", silent)
+    _, restart_by = hollow("control-restarted", None)
     return [
         Day("ordinary", [relay("a relay", changed), heard("a sidecar, usual", changed, assumed.listed)],
             in_force, "hollow sidecars, p99", "nothing for longer than that"),
@@ -78,7 +89,7 @@
             "the rack's servers until told, " + NEVER_TOLD),
         Day("a zone, 590 at once", [
             relay("a relay, in 6 s", zone), heard("a sidecar with the largest service", zone, most)],
-            in_force, "as on an ordinary day, if batches hold them",
+            zone_s, zone_by or "as on an ordinary day, if batches hold them",
             "the zone's servers until told; breakers open before that"),
         Day("the zone back", [
             relay("a relay, in 6 s", zone), *zone_lists],
@@ -88,7 +99,7 @@
             relay("a relay, in 6 s after", region_hour / target.in_force_s),
             Row("", "changes missed, of those that a relay can continue", reckoned(region_hour), "changes",
                 float(assumed.history), "changes / 10 regions x an hour", (), "")],
-            silent, "a relay's next call to the region's discovery, and a batch",
+            cut_s, cut_by or "a relay's next call to the region's discovery, and a batch",
             "the region's servers as last told; " + NEVER_TOLD + "; " + LAST_LIST),
         Day("a release of everything in an hour", [
             relay("a relay", released), heard("a sidecar with the largest service", released, most)],
@@ -98,7 +109,8 @@
                             capacity.at("relay_whole_us", n).times(n / 1e6), "s", target.in_force_s,
                             "1,000 x CPU of a list", ("relay_whole_us",), "")],
             all_lists_s.plus(reckoned(assumed.silent_s + 8.0)),
-            "until the last whole list, after a drawn pause of up to 8 s; runs of that: *not measured* here",
+            "until the last whole list, after a drawn pause of up to 8 s; " + (
+                restart_by or "runs of that: *not measured*"),
             "all entries as last told while no relay runs; " + NEVER_TOLD + "; " + LAST_LIST +
             ". Where the whole lists take more than 6 s from when relays are back, that is a miss"),
         Day("61,000 changes at ten times the mean, ten minutes", [
--- a/pumicepath/lab/capacity/roles.py
+++ b/pumicepath/lab/capacity/roles.py
@@ -23,6 +23,10 @@
     return capacity.at("relay_whole_bytes", assumed.followers).over(MEASURED_LIST)
 
 
+def ratio(one: Figure | None, other: Figure | None) -> Figure | None:
+    return one.over(other) if one is not None and other is not None else None
+
+
 def of_calls(capacity: Capacity, target: Target, assumed: Assumed) -> list[Row]:
     usual, most = assumed.listed, assumed.listed_most
     made, pick = assumed.calls_each, "`logic.py`, `sidecar/dispatch.py`"
@@ -46,9 +50,9 @@
             ("added_p99_ms",), pick + "; O(servers) a decision"),
         Row("", "CPU of one call, a floor of what is added, usual", spent[0], "ms", target.added_ms,
             "CPU of a call", ("call_cpu_ms",), pick),
-        Row("", "the same, with the largest service", spent[1], "ms", target.added_ms, "CPU of a call",
+        Row("", "CPU of one call, with the largest service", spent[1], "ms", target.added_ms, "CPU of a call",
             ("call_cpu_ms",), pick + "; O(servers) a decision"),
-        Row("", "the same 13 deep, usual", spent[0].times(reckoned(target.depth)), "ms", target.added_ms,
+        Row("", "CPU of calls 13 deep, usual", spent[0].times(reckoned(target.depth)), "ms", target.added_ms,
             "13 x CPU of a call, if 1.8 ms is for all of them", ("call_cpu_ms",), pick),
         Row("", "calls 13 deep that meet one of the slowest in a hundred",
             reckoned(100 * (1 - 0.99 ** target.depth)), "%", None, "1 - 0.99^13", (), "none"),
@@ -66,6 +70,11 @@
     heard = changed * assumed.listed / target.servers
     at_peak = changed * assumed.peak * most / target.servers
     part = target.in_force_s / 100
+    pairs = {}
+    for side in ("real", "hollow"):
+        small, large = (capacity.maybe(f"{side}_list_mb", size) for size in (100, 2000))
+        pairs[side] = (capacity.maybe(f"{side}_told_us", usual),
+                       large.plus(small.times(-1)) if small is not None and large is not None else None)
     each = answer.plus(reckoned(assumed.head_bytes)).times(renewals)
     return [
         Row("", "state: servers held, usual", reckoned(usual), "servers", None, "8 x 10.5", (), WATCH),
@@ -73,7 +82,7 @@
             "1 / 2.25 s, and changes that concern it", (), WATCH),
         Row("", "bytes at rest, both ways", each, "bytes a second", target.bytes_s,
             "(a call and an answer with nothing new, 10 regions) / 2.25 s", ("relay_renewed_bytes",), WATCH),
-        Row("", "the same, by hollow sidecars", capacity.maybe("hollow_bytes", target.servers),
+        Row("", "bytes, by hollow sidecars", capacity.maybe("hollow_bytes", target.servers),
             "bytes a second",
             target.bytes_s, "from runs with 0.7 changes a second, 5 services each", ("hollow_bytes",), WATCH),
         Row("", "CPU of lists alone, by hollow sidecars", capacity.maybe("hollow_core", target.servers),
@@ -83,6 +92,12 @@
         Row("", "memory of lists alone, by hollow sidecars", capacity.maybe("hollow_mb", target.servers),
             "MB",
             target.mb, "from the same runs", ("hollow_mb",), WATCH),
+        Row("", "a real one over a hollow one: CPU of a change, usual", ratio(pairs["real"][0],
+            pairs["hollow"][0]),
+            "times", None, "100 of each side by side", ("real_told_us", "hollow_told_us"), WATCH),
+        Row("", "a real one over a hollow one: memory for 1,900 servers more",
+            ratio(pairs["real"][1], pairs["hollow"][1]), "times", None, "100 of each side by side",
+            ("real_list_mb", "hollow_list_mb"), WATCH),
         Row("", "bytes at ten times the changes, with the largest service",
             each.plus(line.plus(answer).times(reckoned(at_peak))),
             "bytes a second", target.bytes_s, "at rest, and 10 x changes x its part of the servers", (
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -154,7 +154,7 @@
 def test_a_sidecar_by_hand() -> None:
     known = flat(call_cpu_ms=0.5, relay_renewed_bytes=160, followed_mb=25)
     assert row(known, "data-path", "CPU, usual").value == Figure(7.5, "measured")       # 150 x 0.5 ms, in %
-    assert row(known, "data-path", "the same 13 deep").factor == pytest.approx(13 * 0.5 / 1.8)
+    assert row(known, "data-path", "CPU of calls 13 deep").factor == pytest.approx(13 * 0.5 / 1.8)
     at_rest = row(known, "lists", "bytes at rest")
     assert at_rest.value is not None and at_rest.value.kind == "reckoned"
     assert at_rest.value.value == pytest.approx((160 + 9 * 36 + 260) / 2.25)
@@ -163,12 +163,15 @@
 
 def test_what_was_not_measured_is_said_so() -> None:
     changed = copy.deepcopy(DATA)
-    for name in [name for name in changed["series"] if name.startswith(("hollow_", "direct_", "added_"))]:
+    for name in [name for name in changed["series"] if name.startswith(
+            ("hollow_", "real_", "direct_", "added_", "control-", "zone-", "region-"))]:
         del changed["series"][name]
     known = decode(changed)
     told = row(known, "change", "a change of servers' entries")
     assert told.value is None and told.factor == 0
     assert rows.cells(told, known)[1:5] == [rows.UNMEASURED, "6 s", rows.UNMEASURED, rows.UNMEASURED]
+    restarted = next(day for day in days.days(known, TARGET, ASSUMED) if day.name.startswith("all control"))
+    assert rows.UNMEASURED in restarted.until_by
     ordinary = days.cells(days.days(known, TARGET, ASSUMED)[0], known)
     assert rows.UNMEASURED in ordinary[0][6]
     assert rows.UNMEASURED in page.written((DOCS / "CAPACITY.md").read_text(), known)
