--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -2,6 +2,7 @@
 
     .venv/bin/python benchmarks/capacity.py                    # all of it, and then the page: half an hour
     .venv/bin/python benchmarks/capacity.py --only hearing --only telling --repeats 5
+    PUMICEPATH_INTERPRETED=1 .venv/bin/python benchmarks/capacity.py --only deciding   # beside compiled ones
     .venv/bin/python benchmarks/capacity.py --write-page       # the tables from the file, nothing measured
 
 Each group measures its series at four sizes or more in one run; what it has measured takes the place of the
@@ -16,7 +17,7 @@
 import re
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from datetime import UTC, datetime
 from pathlib import Path
@@ -32,8 +33,12 @@
 
 sys.path.insert(0, str(ROOT))
 
+import calling  # noqa: E402
 import hearing  # noqa: E402
+import holding  # noqa: E402
+import hollow  # noqa: E402
 import peers  # noqa: E402
+import relaying  # noqa: E402
 import telling  # noqa: E402
 
 from pumicepath.compiled import FORM  # noqa: E402
@@ -48,33 +53,71 @@
     what: str
     unit: str
     by: str
-    compiled: bool = True       # whether what it times has a compiled form
+    form: str = ""              # of what it times, where that is not this tree's
 
 
 SERVERS, FOLLOWERS, CHANGES, PEERS = "servers in the list", "followers", "changes a second", "sidecars"
+PLAIN, NO = "interpreted", "neither"
 SERIES = {
     "first_us": Known("a sidecar reads its first whole list", "us", SERVERS),
     "whole_us": Known("a sidecar reads a whole list again", "us", SERVERS),
     "change_us": Known("a sidecar reads one change", "us", SERVERS),
-    "list_bytes": Known("a whole list", "bytes", SERVERS, False),
+    "list_bytes": Known("a whole list", "bytes", SERVERS, NO),
     "met_us": Known("one call's decision, its key met before", "us", SERVERS),
     "new_us": Known("one call's decision, its key new", "us", SERVERS),
-    "told_us": Known("the source answers one watch with a change", "us", FOLLOWERS, False),
-    "told_bytes": Known("that answer", "bytes", FOLLOWERS, False),
+    "told_us": Known("the source answers one watch with a change", "us", FOLLOWERS, PLAIN),
+    "told_bytes": Known("that answer", "bytes", FOLLOWERS, NO),
     "renewed_us": Known("the source ends a watch with nothing new, and takes the next", "us", FOLLOWERS,
-                        False),
-    "last_ms": Known("wall time from one change until the last follower has it", "ms", FOLLOWERS, False),
-    "sent_us": Known("the source sends one whole list to one of 20", "us", SERVERS, False),
-    "sent_many_us": Known("the source sends one whole list of 1,000 servers", "us", FOLLOWERS, False),
+            PLAIN),
+    "last_ms": Known("wall time from one change until the last follower has it", "ms", FOLLOWERS, PLAIN),
+    "sent_us": Known("the source sends one whole list to one of 20", "us", SERVERS, PLAIN),
+    "sent_many_us": Known("the source sends one whole list of 1,000 servers", "us", FOLLOWERS, PLAIN),
     "rest_mb": Known("memory of a `serve` at rest", "MB", SERVERS),
     "rest_cpu_ms": Known("CPU of a `serve` without calls, 12 servers", "ms a second", CHANGES),
-    "rest_bytes": Known("bytes from discovery to a `serve`, 12 servers", "bytes a second", CHANGES),
-    "join_kb": Known("sent by each until its views are right, all begin at once", "kB", PEERS, False),
-    "join_s": Known("until all views are right, all begin at once", "s", PEERS, False),
-    "restart_s": Known("until all views are right, seven in ten restarted", "s", PEERS, False),
-    "peer_messages": Known("messages a second of membership at rest", "a second", PEERS, False),
-    "peer_bytes": Known("bytes a second of membership at rest", "bytes a second", PEERS, False),
-    "peer_cpu_us": Known("CPU of membership at rest", "us a second", PEERS, False),
+    "rest_bytes": Known("bytes from discovery to a `serve`, 12 servers", "bytes a second", CHANGES, NO),
+    "call_cpu_ms": Known("CPU of a call in a `serve`, 150 a second", "ms", SERVERS),
+    "added_p50_ms": Known("added to a call at p50, 150 a second, wall time", "ms", SERVERS),
+    "added_p99_ms": Known("added to a call at p99, 150 a second, wall time", "ms", SERVERS),
+    "calling_mb": Known("memory of a `serve` after calls", "MB", SERVERS),
+    "join_kb": Known("sent by each until its views are right, all begin at once", "kB", PEERS, NO),
+    "join_s": Known("until all views are right, all begin at once", "s", PEERS, NO),
+    "restart_s": Known("until all views are right, seven in ten restarted", "s", PEERS, NO),
+    "peer_messages": Known("messages a second of membership at rest", "a second", PEERS, NO),
+    "peer_bytes": Known("bytes a second of membership at rest", "bytes a second", PEERS, NO),
+    "peer_cpu_us": Known("CPU of membership at rest", "us a second", PEERS, PLAIN),
+    "peer_kb": Known("memory of the membership of one sidecar", "kB", PEERS, PLAIN),
+    "voter_messages": Known("messages a second from a voter, 200 duties", "a second", PEERS, NO),
+    "voter_bytes": Known("bytes a second from a voter, 200 duties", "bytes a second", PEERS, NO),
+    "followed_mb": Known("memory of a `serve` at rest that follows a relay", "MB", SERVERS),
+    "followed_cpu_ms": Known("CPU of a `serve` at rest that follows a relay", "ms a second", SERVERS),
+    "relay_mb": Known("memory of a relay, 20,000 servers held", "MB", FOLLOWERS),
+    "relay_renewed_us": Known("a relay ends a watch with nothing new, takes the next", "us", FOLLOWERS),
+    "relay_change_us": Known("a relay takes a change and tells whom it concerns, 8 of 1,900 services each",
+                             "us", FOLLOWERS),
+    "relay_whole_us": Known("a relay sends one whole list of 8 services", "us", FOLLOWERS),
+    "relay_whole_bytes": Known("that list", "bytes", FOLLOWERS, NO),
+    "relay_renewed_bytes": Known("a relay's answer with nothing new, one region", "bytes", FOLLOWERS, NO),
+    "hollow_in_force_ms": Known("hollow, relayed: a change in force, p99", "ms", PEERS),
+    "hollow_bytes": Known("hollow, relayed: bytes of lists for one sidecar", "bytes a second", PEERS, NO),
+    "hollow_core": Known("hollow, relayed: CPU of lists of one sidecar", "% of a core", PEERS),
+    "hollow_mb": Known("hollow, relayed: memory of lists of one sidecar", "MB", PEERS),
+    **{f"{fault}_s": Known(f"hollow, relayed: {text}, from its end until all is in force", "s", PEERS)
+       for fault, text in (("control-restarted", "all relays restarted"), ("zone-lost",
+            "a zone gone and back"),
+                           ("region-cut", "a region's discovery cut off from other regions' relays"))},
+    **{f"{side}_{name}": Known(f"{text}, {side}, 100 side by side", unit, SERVERS, form)
+       for side in ("real", "hollow") for name, text, unit, form in (
+           ("list_mb", "memory of a sidecar", "MB", ""), ("told_us", "CPU of a change told", "us", ""),
+           ("told_bytes", "bytes of a change told", "bytes", NO))},
+    "direct_in_force_ms": Known("hollow, direct: a change in force, p99", "ms", PEERS),
+    "direct_mb": Known("hollow, direct: memory of lists of one sidecar", "MB", PEERS),
+    "direct_core": Known("hollow, direct: CPU of lists of one sidecar", "% of a core", PEERS),
+    "direct_origin_core": Known("hollow, direct: the one discovery", "cores", PEERS, PLAIN),
+    "direct_lag_ms": Known("hollow, direct: how late the rig's own loops were at most", "ms", PEERS),
+    "hollow_lag_ms": Known("hollow, relayed: how late the rig's own loops were at most", "ms", PEERS),
+    "hollow_control_core": Known("hollow, relayed: all relays together", "cores", PEERS),
+    "hollow_control_mb": Known("hollow, relayed: all relays together", "MB", PEERS),
+    "hollow_control_bytes": Known("hollow, relayed: all relays together", "bytes a second", PEERS, NO),
 }
 
 
@@ -124,9 +167,53 @@
     return {name: {size: told[size][key] for size in sizes} for name, key in names.items()}
 
 
+def of_calls(seed: int) -> Found:
+    found: Found = {}
+    for servers in (4, 12, 100, 400, 1000):
+        for name, value in calling.called(servers, seed=seed).items():
+            # Wall time of a call says nothing of the sidecar while others have the cores.
+            busy = os.getloadavg()[0] > (os.cpu_count() or 1) / 2
+            if not name.startswith("added") or value > 0 and not busy:
+                found.setdefault(name, {})[servers] = value
+    return found
+
+
+def of_duties(seed: int) -> Found:
+    found: Found = {}
+    for count in (10, 30, 100, 300):
+        for name, value in holding.held(count, 200, seed).items():
+            found.setdefault(name, {})[count] = value
+    found["peer_kb"] = {count: holding.member_kb(count) for count in (50, 100, 200, 300)}
+    return found
+
+
+def of_relay() -> Found:
+    found: Found = {}
+    for count in (100, 500, 1000, 2000):
+        for name, value in relaying.relayed(count).items():
+            found.setdefault(name, {})[count] = value
+    return found
+
+
+def of_follow() -> Found:
+    found = relaying.followed((12, 84, 1000, 2584))
+    return {"followed_mb": {size: told[0] for size, told in found.items()},
+            "followed_cpu_ms": {size: told[1] for size, told in found.items()}}
+
+
+def of_hollow(seed: int) -> Found:
+    found: Found = {}
+    for sidecars in (500, 1000, 2000, 4000):
+        for name, value in hollow.relayed(sidecars, seed).items():
+            found.setdefault(name, {})[sidecars] = value
+    return found
+
+
 GROUPS: dict[str, Callable[[int], Found]] = {
     "hearing": lambda repeat: of_hearing(), "deciding": lambda repeat: of_deciding(),
     "telling": lambda repeat: of_telling(), "rest": lambda repeat: of_rest(), "members": of_members,
+    "calls": of_calls, "duties": of_duties, "relay": lambda repeat: of_relay(),
+    "follow": lambda repeat: of_follow(), "hollow": of_hollow,
 }
 
 
@@ -148,6 +235,56 @@
     return git("rev-parse", "--short", "HEAD").strip() + ("+" if changed.strip() else "")
 
 
+def taken(paths: Sequence[Path]) -> dict[str, Any]:
+    """Series of recorded runs of `lab scale`."""
+    runs = hollow.recorded(paths)
+    if not runs:
+        raise click.BadParameter("no run that ended with a result", param_hint="--scale")
+    found: dict[str, Any] = {}
+    groups: dict[tuple[Any, ...], list[dict[str, Any]]] = {}
+    for one in runs:
+        groups.setdefault((one["result"]["form"], *one["result"]["faults"]), []).append(one)
+    for group in groups.values():
+        found |= of_runs(group)
+    found |= of_pairs(hollow.pairs(paths))
+    return found
+
+
+def of_pairs(pairs: list[dict[str, Any]]) -> dict[str, Any]:
+    """Hollow sidecars beside real ones, as benchmarks/hollow_against_real.py tells of them."""
+    if len({one["servers"] for one in pairs}) < slopes.FEWEST:
+        return {}
+    run = {"date": datetime.now(UTC).strftime("%Y-%m-%d %H:%M"), "commit": "as recorded",
+           "load": max(one["load_average"] for one in pairs), "command": "benchmarks/hollow_against_real.py"}
+    names = {f"{side}_{name}": (side, key) for side in ("real", "hollow") for name, key in (
+        ("list_mb", "mb_each"), ("told_us", "us_a_change"), ("told_bytes", "bytes_a_change"))}
+    return {name: series(name, {one["servers"]: [float(f"{one[side][key]:.4g}")] for one in pairs}, run)
+            for name, (side, key) in names.items()}
+
+
+def of_runs(runs: list[dict[str, Any]]) -> dict[str, Any]:
+    if len({one["result"]["sidecars"] for one in runs}) < slopes.FEWEST:
+        return {}
+    run = {"date": datetime.now(UTC).strftime("%Y-%m-%d ") + max(one["at"][:5] for one in runs),
+           "commit": "as recorded", "load": max(one["result"]["load_average"] for one in runs),
+           "command": max(runs, key=lambda one: one["result"]["sidecars"])["command"]}
+    values: dict[str, dict[float, list[float]]] = {}
+    for one in runs:
+        for name, value in hollow.figures(one["result"]).items():
+            if name not in SERIES:
+                continue
+            sizes = values.setdefault(name, {})
+            sizes.setdefault(one["result"]["sidecars"], []).append(float(f"{value:.4g}"))
+    return {name: series(name, sizes, run) for name, sizes in values.items()}
+
+
+def series(name: str, sizes: dict[float, list[float]], run: dict[str, Any]) -> dict[str, Any]:
+    known = SERIES[name]
+    return {"what": known.what, "unit": known.unit, "by": known.by, "run": run,
+            "form": known.form or FORM.partition(":")[0],
+            "points": [[size, found] for size, found in sorted(sizes.items())]}
+
+
 def measure(group: str, repeats: int) -> dict[str, Any]:
     run = {"date": datetime.now(UTC).strftime("%Y-%m-%d %H:%M"), "commit": commit(),
            "load": round(os.getloadavg()[0], 1),
@@ -159,11 +296,11 @@
                 values.setdefault(name, {}).setdefault(size, []).append(float(f"{value:.4g}"))
                 print(f"{group} {repeat + 1}: {SERIES[name].what}, {size:,} {SERIES[name].by}: {value:.4g} "
                       f"{SERIES[name].unit}", flush=True)
-    form = FORM.partition(":")[0]
-    return {name: {"what": SERIES[name].what, "unit": SERIES[name].unit, "by": SERIES[name].by,
-                   "form": form if SERIES[name].compiled else "interpreted", "run": run,
-                   "points": [[size, found] for size, found in sorted(sizes.items())]}
-            for name, sizes in values.items()}
+    found = {name: series(name, sizes, run) for name, sizes in values.items() if len(sizes) >= slopes.FEWEST}
+    if FORM == "compiled":
+        return found
+    # With PUMICEPATH_INTERPRETED=1 what has a compiled form stands beside that, and the rest is as it was.
+    return {f"{name}_interpreted": one for name, one in found.items() if not SERIES[name].form}
 
 
 def keep(found: dict[str, Any]) -> None:
@@ -186,9 +323,13 @@
 @click.command()
 @click.option("--only", multiple=True, type=click.Choice(list(GROUPS)), help="These groups; else all.")
 @click.option("--repeats", default=3, show_default=True, help="Of each group; tables go by the middle.")
+@click.option("--scale", multiple=True, type=click.Path(exists=True, path_type=Path),
+              help="Runs of `lab scale --json`, one a line, in place of the group hollow; measures nothing.")
 @click.option("--write-page", is_flag=True, help="Write the page's tables from the file and measure nothing.")
-def main(only: tuple[str, ...], repeats: int, write_page: bool) -> None:
-    if not write_page:
+def main(only: tuple[str, ...], repeats: int, scale: tuple[Path, ...], write_page: bool) -> None:
+    if scale:
+        keep(taken(scale))
+    elif not write_page:
         for group in only or tuple(GROUPS):
             keep(measure(group, repeats))
     try:
--- a/pumicepath/lab/capacity/slopes.py
+++ b/pumicepath/lab/capacity/slopes.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from functools import cached_property
 from statistics import median
 from typing import Any
 
@@ -48,8 +49,13 @@
         return Figure(self.value + other.value, *worse(self, other))
 
 
+def reckoned(value: float) -> Figure:
+    """Of the target or an assumption: what is multiplied by it was not measured at that many."""
+    return Figure(value, "reckoned")
+
+
 def exact(number: Figure | float) -> Figure:
-    """Of the target or an assumption, which take nothing from how the other was found."""
+    """A change of unit, which takes nothing from how the other was found."""
     return number if isinstance(number, Figure) else Figure(float(number), "measured")
 
 
@@ -93,7 +99,7 @@
     run: Mapping[str, Any]
     points: tuple[tuple[float, tuple[float, ...]], ...]
 
-    @property
+    @cached_property
     def middles(self) -> list[tuple[float, float]]:
         return [(size, median(values)) for size, values in self.points]
 
@@ -102,7 +108,7 @@
         """The widest of the sizes: largest less smallest repeat, over the middle."""
         return max((max(values) - min(values)) / median(values) for _, values in self.points)
 
-    @property
+    @cached_property
     def line(self) -> Line:
         return line(self.middles)
 
@@ -110,7 +116,7 @@
         """Between measured sizes on the straight line between their middles.
 
         Beyond the largest by the line through all of them where that is one, else by that through the last
-        two; below the smallest that one's.
+        two; below the smallest that one's.  A line that falls is not followed beyond what was measured.
         """
         middles = self.middles
         least, most = middles[0], middles[-1]
@@ -122,7 +128,8 @@
         found = self.line
         if not found.linear:
             found = line(middles[-2:])
-        return Figure(found.at(size), "extrapolated", size / most[0])
+        value = found.at(size) if found.slope > 0 else most[1]
+        return Figure(value, "extrapolated", size / most[0])
 
 
 @dataclass(frozen=True)
@@ -140,6 +147,10 @@
     def at(self, name: str, size: float) -> Figure:
         return self[name].at(size)
 
+    def maybe(self, name: str, size: float) -> Figure | None:
+        """None where it was not measured: for what needs an idle machine, or many processes."""
+        return self.series[name].at(size) if name in self.series else None
+
 
 def keyed(data: Any, where: str, keys: Sequence[str]) -> dict[str, Any]:
     """An object with these keys and no others."""
