Out of descriptors a sidecar keeps the relay that answers; tests of following in files of their own

A socket for the way back to the first relay was opened outside the guard: with a full descriptor table the watch that worked was given up for it.

--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -171,18 +171,13 @@
 
     def change(self, homes: Homes) -> None:
         """Leave one relay that answers for another, once that can be dialled."""
-        where = address(homes.at)
-        sock = opened(where)
         try:
-            sock.settimeout(DIAL_S)
-            sock.connect(where)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock = dialled(address(homes.at))
         except OSError:
-            sock.close()
             if homes.before is None:
                 self.dialling = True
                 raise
-            # Guards the watch that works against one that can't be had: it goes on.
+            # Guards the watch that works against one that can't be had, or no descriptor for it: it goes on.
             homes.failed(clock.now())
             return
         with self.gate:
@@ -262,3 +257,15 @@
 
 def opened(where: Address) -> socket.socket:
     return socket.socket(socket.AF_INET6 if ":" in where.host else socket.AF_INET)
+
+
+def dialled(where: Address) -> socket.socket:
+    sock = opened(where)
+    try:
+        sock.settimeout(DIAL_S)
+        sock.connect(where)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
 import os
 import signal
@@ -22,147 +21,14 @@
 from pumicepath.discovery.watch import Watch
 from pumicepath.distribution import homes as deciding
 from pumicepath.distribution.homes import Homes
-from pumicepath.http1.parsing import RequestParser, ResponseParser
-from pumicepath.lab.loopback.scripted import Deployment, Peer, answer, next_of
+from pumicepath.lab.loopback.scripted import Deployment, answer
 from pumicepath.sidecar import config, running
 from pumicepath.sidecar.watching import Watcher
 
+from .following_rig import Around, Relay
 from .rig import until
 
 
-class Relay:
-    """A stand-in that answers as relays do, for as long as it is to: `state` is serving, busy or silent."""
-
-    def __init__(self, seq: int, *regions: str) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.listener.settimeout(None)
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        self.change = threading.Condition()
-        self.state = "serving"
-        self.accepted = 0
-        self.seq = self.first = seq
-        self.regions: dict[str, dict] = {}
-        self.lines: dict[str, dict] = {}
-        self.news: list[tuple[int, dict]] = []
-        self.asked: list[tuple[float, str]] = []
-        self.open: set[socket.socket] = set()
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self) -> None:
-        while True:
-            try:
-                sock = self.listener.accept()[0]
-            except OSError:
-                return
-            self.open.add(sock)
-            self.accepted += 1
-            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
-
-    def serve(self, sock: socket.socket) -> None:
-        sock.settimeout(None)
-        parser = RequestParser()
-        try:
-            while (request := next_of(sock, parser)) is not None:
-                with self.change:
-                    self.asked.append((time.monotonic(), request.target))
-                    data = self.answer(request.target)
-                if data:
-                    sock.sendall(data)
-        except OSError:
-            pass
-        self.open.discard(sock)
-        sock.close()
-
-    def answer(self, target: str) -> bytes:
-        given = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
-        since = int(given.get("since", -1))
-        if self.first <= since:
-            wait = int(given["timeout_ms"]) / 1000
-            self.change.wait_for(lambda: self.seq > since or self.state != "serving", wait)
-        if self.state == "silent":
-            return b""
-        if self.state == "busy":
-            return answer(503)
-        whole = not self.first <= since <= self.seq
-        lines = list(self.lines.values()) if whole else [one for seq, one in self.news if seq > since]
-        return answer(200, json.dumps({"seq": self.seq, "whole": whole, "hosts": lines,
-                                       "regions": self.regions}))
-
-    def tell(self, region: str, seq: int, live: bool, *lines: dict) -> Relay:
-        with self.change:
-            self.seq += 1
-            self.regions[region] = {"seq": seq, "live": live}
-            for line in lines:
-                self.lines[line["host"]] = {**line, "region": region, "service": "cart"}
-                self.news.append((self.seq, self.lines[line["host"]]))
-            self.change.notify_all()
-        return self
-
-    def turn(self, state: str) -> None:
-        with self.change:
-            self.state = state
-            self.change.notify_all()
-
-    def kill(self) -> None:
-        self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
-        for sock in list(self.open):
-            sock.shutdown(socket.SHUT_RDWR)
-
-    def taken(self) -> bool:
-        """Whether the newest that it has told has been taken."""
-        return f"since={self.seq}&" in (self.asked[-1][1] if self.asked else "")
-
-
-class Answering(Peer):
-    """A server that answers whatever comes."""
-
-    def serve(self, sock: socket.socket) -> None:
-        parser = RequestParser()
-        sock.settimeout(None)
-        with sock, contextlib.suppress(OSError):
-            while next_of(sock, parser) is not None:
-                self.lines.append(f"{self.name}: asked")
-                sock.sendall(answer(200, "fine"))
-
-
-class Around(Deployment):
-    """One real sidecar, servers that answer whatever comes, and relays in the order that it has of them."""
-
-    def __init__(self, folder: Path, count: int, waits: float = 0.6, servers: int = 2,
-                 **changed: Any) -> None:
-        super().__init__(folder, 0, **changed)
-        self.servers = [Answering(f"s-{at}", self.script, self.lines) for at in range(servers)]
-        self.told["known"] = self.listing(1, True, "active")
-        relays = {relay.address: relay for relay in (Relay(1000 * (at + 1)) for at in range(count))}
-        order = Homes("n0", list(relays), lambda: 0.5).order
-        self.relays = [relays[at] for at in order]
-        self.told["relays"] = list(relays)
-        if waits:
-            self.told["settings"]["rules"]["askEveryS"] = waits / 2
-        self.write()
-
-    def write(self, **changed: Any) -> None:
-        self.told.update(changed)
-        self.config.write_text(json.dumps(self.told))
-
-    def lines_now(self, *healths: str) -> list[dict]:
-        return [{**line, "health": health}
-                for line, health in zip(self.listing(1, True, "active")["hosts"], healths)]
-
-    def used(self, requests: int) -> set[str]:
-        """Which servers are sent anything until so many requests are served, however slow the machine is."""
-        del self.lines[:]
-        end = time.monotonic() + 20
-        while requests:
-            assert time.monotonic() < end
-            with socket.create_connection(self.where) as sock:
-                self.send("read", sock=sock)
-                response = self.hear(sock, ResponseParser())
-            requests -= response is not None and response.status == 200
-        return {line.partition(":")[0] for line in self.lines if line.startswith("s-")}
-
-
 def test_a_drain_told_by_one_relay_holds_at_the_next_that_is_behind(tmp_path: Path) -> None:
     around = Around(tmp_path, 2, waits=20)
     first, second = around.relays
@@ -427,6 +293,25 @@
         assert not any(each.startswith("FAILED") for each in heard.lines)
 
 
+def test_without_a_descriptor_for_another_relay_the_watch_that_works_goes_on(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(deciding, "HOME_US", 500_000)
+
+    def none_left(where: object) -> socket.socket:
+        raise OSError(24, "Too many open files")
+    relays = [Relay(1000 * at).tell("eu", 5, True, line("s-1")) for at in (1, 2)]
+    with followed(*relays) as (watcher, (first, second), _):
+        until(first.taken)
+        first.turn("busy")
+        until(second.taken)
+        monkeypatch.setattr("pumicepath.sidecar.watching.opened", none_left)
+        first.turn("serving")
+        until(lambda: watcher.homes and watcher.homes.home_span > 500_000)
+        calls = len(second.asked)
+        until(lambda: len(second.asked) > calls + 3)
+        assert second.accepted == 1
+
+
 def test_a_first_that_takes_connections_and_says_nothing_is_left_for_the_one_before(
         monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(deciding, "HOME_US", 500_000)
@@ -459,56 +344,3 @@
         until(lambda: not first.open and not second.open)
         assert f"relay_changed {third.address} a region is out of touch" in heard.lines
         assert heard.lines.count("region_stale") <= 4 and "region_back" in heard.lines
-
-
-# -- the keys
-
-
-BAD = [
-    ({"relays": []}, "relays: [] is no list of 1 to 64 addresses"),
-    ({"relays": "127.0.0.1:1"}, "relays: '127.0.0.1:1' is no list of 1 to 64 addresses"),
-    ({"relays": [f"127.0.0.1:{at}" for at in range(1, 66)]}, "relays: ["),
-    ({"relays": ["here"]}, "relays[0]: 'here' is no address"),
-    ({"relays": ["127.0.0.1:1", "127.0.0.1:99999"]}, "relays[1]: '127.0.0.1:99999' is no address"),
-    ({"relays": ["127.0.0.1:0"]}, "relays[0]: '127.0.0.1:0' is no address"),
-    ({"relays": [5]}, "relays[0]: 5 is no address"),
-    ({"relays": ["127.0.0.1:1", "127.0.0.1:1"]}, "relays[1]: '127.0.0.1:1' is named twice"),
-    ({"relays": ["127.0.0.1:1"], "name": ""}, "name: '' is no name"),
-    ({"services": ["cart"]}, "services: there are none without relays"),
-    ({"relays": None, "services": []}, "services: there are none without relays"),
-    ({"relays": ["127.0.0.1:1"], "services": "cart"}, "services: no list of 0 to 256 names"),
-    ({"relays": ["127.0.0.1:1"], "services": [f"s{at}" for at in range(257)]},
-     "services: no list of 0 to 256"),
-    ({"relays": ["127.0.0.1:1"], "services": ["cart", "a,b"]}, "services[1]: 'a,b' is no name"),
-    ({"relays": ["127.0.0.1:1"], "services": ["*"]}, "services[0]: '*' is no name"),
-    ({"relays": ["127.0.0.1:1"], "services": [""]}, "services[0]: '' is no name"),
-    ({"relays": ["127.0.0.1:1"], "services": ["x" * 65]}, "services[0]: 'xxx"),
-    ({"relays": ["127.0.0.1:1"], "services": [3]}, "services[0]: 3 is no name"),
-    ({"relays": ["127.0.0.1:1"], "services": ["a", "a"]}, "services[1]: 'a' is named twice"),
-    ({"relays": ["127.0.0.1:1"], "services": [f"{at:064}" for at in range(200)]},
-     "services: longer than 12000"),
-]
-
-
-@pytest.mark.parametrize("changed, says", BAD)
-def test_keys_that_cannot_be_meant_are_one_line_that_names_the_key(
-        changed: dict, says: str, tmp_path: Path) -> None:
-    around = Deployment(tmp_path, 1, **changed)
-    with pytest.raises(config.BadConfig) as trouble:
-        config.read(str(around.config))
-    text = str(trouble.value)
-    assert text.startswith(f"{around.config}: {says}") and "\n" not in text
-
-
-@pytest.mark.parametrize("command", ["check", "serve"])
-def test_a_bad_key_ends_the_program_with_two_and_a_good_one_is_told(command: str, tmp_path: Path) -> None:
-    around = Deployment(tmp_path, 1, relays=["127.0.0.1:8601", "[::1]:8601"], services=["stock", "cart"])
-    started = [sys.executable, "-m", "pumicepath", command, "--config", str(around.config)]
-    if command == "check":
-        ran = subprocess.run(started, capture_output=True, text=True)
-        assert ran.returncode == 0
-        assert "follows relays: 127.0.0.1:8601, [::1]:8601; services: cart, stock\n" in ran.stdout
-    around.config.write_text(json.dumps({**around.told, "services": ["a b"]}))
-    ran = subprocess.run(started, capture_output=True, text=True, timeout=20)
-    assert ran.returncode == 2 and not ran.stdout
-    assert ran.stderr.count("\n") == 1 and f"{around.config}: services[0]: 'a b' is no name" in ran.stderr
