--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -240,6 +240,13 @@
     assert subscriptions.next_at() == NEVER
 
 
+def test_change_that_comes_while_ends_of_waits_stand_in_line_is_told_to_those() -> None:
+    subscriptions = subscribed(*["cart"] * 300)
+    assert len(subscriptions.due(3 * SECOND, 256)) == 256
+    assert subscriptions.changed(("cart",), 11, 3 * SECOND) == 44
+    assert sorted(subscriptions.due(3 * SECOND + 50_000, 256)) == [(number, 10) for number in range(256, 300)]
+
+
 def test_a_server_without_a_service_concerns_all() -> None:
     subscriptions = subscribed("cart", "stock", "*")
     assert subscriptions.changed(("",), 11, 0) == 3
