What crossed our end of a connection and was sent on is answered though its client went

Read instead: of the ways in which a request that was sent on ends, one gives no answer, Client.serve where Dispatcher.returned finds an attempt failed and its client gone. On a connection whose end we have begun, a client may go for that end.

Change: there the final answer is written all the same. The test forces it (read before our end, reset by its server, its client's side closed): 502 with the change, nothing without; on a connection that we have not ended nothing is told, as before.

--- a/pumicepath/distribution/subscriptions.py
+++ b/pumicepath/distribution/subscriptions.py
@@ -132,8 +132,8 @@
             self.ready.extend(self.marked.items())
             self.marked.clear()
         while self.ends and self.ends[0][0] <= now and len(self.ready) < most:
-            # No more than are told now.  Guards those that would have to stand in line, which is when something
-            # of theirs may change, against being told that nothing has.
+            # No more than are told now.  Guards those that would stand in line, while something of theirs may
+            # change, against being told that nothing has.
             until, number = heapq.heappop(self.ends)
             if self.until.get(number) == until:
                 del self.until[number]
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -26,10 +26,8 @@
 RESET = struct.pack("ii", 1, 0)
 STEP_S = 0.005              # between two looks at a connection that wakes nobody any more
 SINK = bytearray(256 * 1024)  # what nobody reads goes there; the kernel does not even copy it
-
 MOST_UPLOAD = 40 << 20      # what says that it is longer is refused
 MOST_ERRORS = 3             # in a row, until the connection is closed
-
 # What a connection is doing: LAST has been told to end between requests, and serves what crossed that.
 FRESH, PARTIAL, BUSY, IDLE, CLOSING, LAST = range(6)
 
@@ -225,7 +223,9 @@
         except Exception:
             dispatcher.failed(exchange)
             raise
-        if exchange.left:
+        if exchange.left and self.last:
+            self.answer(answers.FORFEITED, False)  # guards what crossed our end; its client may go then
+        elif exchange.left:
             self.group = ""
             self.enter(CLOSING)
         else:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -111,6 +111,28 @@
     until(lambda: not rig.clients.open)
 
 
+@pytest.mark.parametrize("crosses", [True, False])
+def test_what_crossed_the_end_of_a_connection_and_was_sent_on_is_answered_though_its_client_went(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, crosses: bool) -> None:
+    rig = Rig(tmp_path)
+    far, client = rig.connect()
+    client.state = IDLE
+    with held(monkeypatch, arrival, "receive", before=False) as (came, go):
+        far.sendall(rig.asked("crossed"))
+        start(client.run)
+        assert came.acquire(timeout=20)
+        assert not crosses or client.expire(IDLE) and client.state == LAST
+        go.release(100)
+        assert rig.around.servers[0].met.acquire(timeout=20)
+        far.shutdown(socket.SHUT_WR)    # it may still read
+        until(client.gone)
+        rig.around.script.put("reset")
+        # One that crossed nothing is told nothing: by the protocol it has gone.
+        assert status(far) == (502 if crosses else 0)
+    far.close()
+    until(lambda: not rig.clients.open)
+
+
 def test_half_of_a_long_body_that_crosses_the_end_of_a_resting_connection_goes_on(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("pumicepath.lab.loopback.scripted.RequestParser", lambda: RequestParser(1 << 20))
