Our own end of reading is not taken for the client's: what crossed it is carried on

Change: a shutdown tells whether the state says "gone" since, though it did not before; from then on it says nothing. The test fails without it (502 where a second server would have served).

--- a/pumicepath/sidecar/arrival.py
+++ b/pumicepath/sidecar/arrival.py
@@ -84,3 +84,15 @@
         return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != ESTABLISHED
     except OSError:
         return True
+
+
+def ended(sock: socket.socket, how: int) -> bool:
+    """Shut a connection's reading, or both ways; whether `gone` is true since, though its peer had not gone.
+
+    Guards what crossed that end, on a platform where our own shutdown looks like the peer's: whether it has
+    gone can't be known from there on.
+    """
+    before = gone(sock)
+    with suppress(OSError):  # the peer was first
+        sock.shutdown(how)
+    return not before and gone(sock)
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -55,7 +55,7 @@
         self.errors = 0
         self.served = 0
         self.chunked = self.unframed = self.reset = False
-        self.last = False
+        self.last = self.blind = False
         self.group = ""             # the class of the submission under way, and its answer's status
         self.status = 0
         self.head = False           # whether the answer has no body, as to HEAD
@@ -363,7 +363,7 @@
 
     def gone(self) -> bool:
         """Whether the client has closed its connection, as far as that has come."""
-        return self.broken or arrival.gone(self.sock)
+        return self.broken or not self.blind and arrival.gone(self.sock)
 
     # -- closing, by other threads
 
@@ -385,7 +385,7 @@
                 self.sock.send(writing.response(*late, False), socket.MSG_DONTWAIT)
             self.shut(socket.SHUT_WR)
         else:
-            self.shut(socket.SHUT_RDWR if state == CLOSING else socket.SHUT_RD)
+            self.blind = arrival.ended(self.sock, socket.SHUT_RDWR if state == CLOSING else socket.SHUT_RD)
         return True
 
     def unread(self) -> bool:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -133,6 +133,29 @@
     until(lambda: not rig.clients.open)
 
 
+def test_where_our_own_end_of_reading_looks_like_the_clients_what_crossed_it_is_carried_on(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Seen on the bench: the kernel's state is CLOSE_WAIT from our shutdown of reading on."""
+    real = arrival.gone
+    rig = Rig(tmp_path, servers=2)
+    far, client = rig.connect()
+    client.state = IDLE
+    with held(monkeypatch, arrival, "receive", before=False) as (came, go):
+        far.sendall(rig.asked("crossed", "read"))
+        start(client.run)
+        assert came.acquire(timeout=20)
+        looks = iter([False])
+        monkeypatch.setattr(arrival, "gone",
+                            lambda sock: next(looks, True) if sock is client.sock else real(sock))
+        assert client.expire(IDLE) and client.state == LAST
+        rig.around.script.put("reset")
+        rig.around.script.put(answer(200, "served"))
+        go.release(100)
+        assert status(far) == 200
+    far.close()
+    until(lambda: not rig.clients.open)
+
+
 def test_half_of_a_long_body_that_crosses_the_end_of_a_resting_connection_goes_on(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("pumicepath.lab.loopback.scripted.RequestParser", lambda: RequestParser(1 << 20))
