A dial ends just after its attempt, whose time-out is the timers' to tell, as before

Cause: with the dial's bound at the attempt's own end, thread and timer told its outcome by turns: could not connect, or timed out. That changes decisions (one is rejected, the other fails) where only the thread was to be freed. Change: 5 ms past the end, by when the timers have told it.

--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -26,6 +26,7 @@
 ENOUGH = 5                  # rests of about one length, from which their resets tell something
 KEPT = 0.99                 # of what is known about rests, from one look at the connections to the next
 MOST_ANSWER = 40 << 20      # what says that it is larger is taken for spoilt
+PAST = 5_000                # of a dial past the end of its hop, which has timed out by then
 UNMOVED = struct.pack("ll", 10, 0)  # for how long nothing may move of what goes through as it comes
 UNBOUND = struct.pack("ll", 0, 0)
 
@@ -119,12 +120,12 @@
         self.idle_since = self.got = 0
 
     def connect(self, where: Address, hop: Hop) -> None:
-        """Dial for no longer than the hop may last.
+        """Dial for no longer than the hop may last; that it is over then is for the timers to say, before.
 
         Guards what the client sends next against a thread that still dials for what has been answered: not
         every platform wakes a dial that is shut by another thread.
         """
-        left = min(self.pool.dial, hop.ends - clock.now())
+        left = min(self.pool.dial, hop.ends + PAST - clock.now())
         if left <= 0:
             raise TimeoutError
         self.sock = sock = socket.socket(socket.AF_INET6 if ":" in where.host else socket.AF_INET)
