A relay's whole list is read as its differences from the one held

Change: Watch.merged tells lines that differ from those held, and those missing as left. The first list stays whole; without relays nothing differs.

--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from time import monotonic_ns
 from typing import TYPE_CHECKING, Any
 
@@ -155,7 +155,11 @@
         return update
 
     def merged(self, merging: Regions, data: dict[str, Any]) -> Update:
-        """What a relay's answer says, without what is older than what was taken; whole with all the rest."""
+        """What a relay's answer says, without what is older than what was taken.
+
+        Of a whole list the differences from the one held, with all that it does not speak of: when relays die
+        all sidecars get whole lists at once, of which hardly a line is new.
+        """
         from ..distribution.regions import understood
         held = self.roster.lines
         try:
@@ -173,10 +177,13 @@
             self.empty += 1
             if self.empty < MOST_BACK:
                 raise BadList("an empty list")
-        update = self.roster.read({"seq": version, "whole": whole and bool(judged.taken), "hosts": lines})
-        merging.take(told, judged)
         if lines:
             self.empty = 0
+        anew = whole and bool(judged.taken) and not held
+        if whole and judged.taken and held:
+            lines = differences(held, lines)
+        update = self.roster.read({"seq": version, "whole": anew, "hosts": lines})
+        merging.take(told, judged)
         self.version = -1 if judged.again else version
         self.doubted = False
         return update
@@ -196,3 +203,10 @@
         if not update.whole or self.back < MOST_BACK:
             raise BadList(f"version {update.version} after {self.version}")
         self.back = 0
+
+
+def differences(held: Mapping[str, Any], lines: Sequence[dict[str, Any]]) -> list[dict[str, Any]]:
+    """What has to be told so that what is held becomes these lines, by servers that each stand there once."""
+    here = {line["host"] for line in lines}
+    gone = [{**line, "health": "left"} for name, line in held.items() if name not in here]
+    return gone + [line for line in lines if held.get(line["host"]) != line]
