lab scale plays some regions of a fleet whole: relays as loaded as at the target

Need: 20,000 sidecars and 20 relays on one machine are late by what the machine lacks, so that 'all relays restarted' could not be told from the rig (10.1 s, rig 3.4 s behind). Bad values are refused by the option.

--- a/pumicepath/commands/scale.py
+++ b/pumicepath/commands/scale.py
@@ -27,6 +27,9 @@
 @click.option("--calls", type=int, default=5, show_default=True, help="Services that a sidecar calls.")
 @click.option("--popular", type=float, default=0.0, show_default=True,
               help="A service of size n is called as often as n to this power; 0: all alike.")
+@click.option("--play-regions", "played", type=int, default=0, metavar="N",
+              help="Start the sidecars and relays of the first N regions only, beside all origins.")
+@click.option("--whole-bytes-per-s", type=int, default=0, metavar="N", help="A relay's pace of whole lists.")
 @click.option("--fault", "faults", multiple=True, metavar="NAME", help="May be given again; see docs/lab.md.")
 @click.option("--fault-for", "fault_s", type=float, default=6.0, show_default=True, metavar="SECONDS")
 @click.option("--processes", type=int, default=0, help="Of sidecars; by default half of the cores.")
@@ -34,8 +37,9 @@
               help="Where the truth and what was seen go; by default found/scale.")
 @click.option("--json", "as_json", is_flag=True, help="Only the last line, no progress.")
 def scale(sidecars: int, services: int, regions: int, zones: int | None, changes_per_s: float, seconds: float,
-          seed: int, form: str, relays_per_region: int, calls: int, popular: float, faults: tuple[str, ...],
-          fault_s: float, processes: int, folder: Path | None, as_json: bool) -> None:
+          seed: int, form: str, relays_per_region: int, calls: int, popular: float, played: int,
+          whole_bytes_per_s: int, faults: tuple[str, ...], fault_s: float, processes: int,
+          folder: Path | None, as_json: bool) -> None:
     """Run many hollow sidecars in few processes, and judge what their balancers go by.
 
     Ends with one line of JSON, and with 1 if something was violated, 2 if it can't be run as asked, 3 if the
@@ -50,7 +54,7 @@
     from ..lab.hollow.processes import Void
     from ..lab.hollow.run import Run
     ask = Ask(sidecars, services, regions, regions if zones is None else zones, changes_per_s, seconds, seed,
-              form, relays_per_region, calls, popular, processes, fault_s, faults)
+              form, relays_per_region, calls, popular, played, whole_bytes_per_s, processes, fault_s, faults)
     where = folder or Path("found") / "scale"
 
     def progress(line: str) -> None:
--- a/pumicepath/lab/hollow/host.py
+++ b/pumicepath/lab/hollow/host.py
@@ -1,6 +1,6 @@
 """A process that holds many hollow sidecars: one selector loop, a tick for the witness, orders on stdin.
 
-    python -m pumicepath.lab.hollow.host FOLDER FIRST COUNT PLACES
+    python -m pumicepath.lab.hollow.host FOLDER FIRST COUNT PLACES      # of those that the run plays
 
 Reads the run's `ask.json`; PLACES are the relays' addresses, parted by commas, region by region;
 without relays the origin's.
@@ -12,7 +12,7 @@
 import selectors
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from heapq import heappop, heappush
 from pathlib import Path
 from typing import Any
@@ -33,7 +33,7 @@
 
 
 class Host:
-    def __init__(self, plan: Plan, folder: Path, numbers: range, places: list[str]) -> None:
+    def __init__(self, plan: Plan, folder: Path, numbers: Sequence[int], places: list[str]) -> None:
         self.plan, self.folder = plan, folder
         self.selector = selectors.DefaultSelector()
         self.base_mb = processes.mb()
@@ -191,7 +191,7 @@
     folder, first, count = Path(sys.argv[1]), int(sys.argv[2]), int(sys.argv[3])
     processes.most_descriptors()
     plan = Plan(Ask.from_told(orjson.loads((folder / "ask.json").read_bytes())))
-    Host(plan, folder, range(first, first + count), sys.argv[4].split(",")).run()
+    Host(plan, folder, plan.played()[first:first + count], sys.argv[4].split(",")).run()
 
 
 if __name__ == "__main__":
--- a/pumicepath/lab/hollow/needs.py
+++ b/pumicepath/lab/hollow/needs.py
@@ -38,23 +38,25 @@
 
 def hosts_of(plan: Plan, cores: int) -> int:
     """Processes of hollow sidecars: as asked, else half of the cores and at least 25 sidecars in each."""
-    wanted = plan.ask.processes or max(1, min(cores // 2, plan.ask.sidecars // 25))
-    return min(wanted, plan.ask.sidecars)
+    count = len(plan.played())
+    wanted = plan.ask.processes or max(1, min(cores // 2, count // 25))
+    return min(wanted, count)
 
 
 def needs(plan: Plan, hosts: int) -> Needs:
     ask = plan.ask
     direct = ask.form == "direct"
-    held = ask.sidecars ** 2 if direct else sum(map(plan.held, range(ask.sidecars)))
-    relays = 0 if direct else ask.regions * ask.relays_per_region
+    played = plan.played()
+    held = ask.sidecars ** 2 if direct else sum(map(plan.held, played))
+    relays = 0 if direct else plan.regions_played() * ask.relays_per_region
     origins = 1 if direct else ask.regions
     forwarders = int("region-cut" in ask.faults)
     control = (relays * (CONTROL_MB + ask.sidecars * LISTED_KB / 1000)
                + origins * (CONTROL_MB + ask.sidecars * (LISTED_KB / origins + PLANNED_KB) / 1000))
-    mb = (RUN_MB + hosts * HOST_MB + ask.sidecars * SIDECAR_KB / 1000 + held * SERVER_KB / 1000 + control)
+    mb = (RUN_MB + hosts * HOST_MB + len(played) * SIDECAR_KB / 1000 + held * SERVER_KB / 1000 + control)
     # All of a region's sidecars may come to one of its relays, while the others are down.
     most = ask.sidecars if direct else -(-ask.sidecars // ask.regions)
-    return Needs(1 + hosts + origins + relays + forwarders, mb, held, max(most, -(-ask.sidecars // hosts)))
+    return Needs(1 + hosts + origins + relays + forwarders, mb, held, max(most, -(-len(played) // hosts)))
 
 
 def refuse(found: Needs) -> None:
--- a/pumicepath/lab/hollow/plan.py
+++ b/pumicepath/lab/hollow/plan.py
@@ -16,6 +16,7 @@
 TAIL = 0.9                  # size of the r-th service ~ r ** -TAIL: 1,000 to 2,500 in the largest of 20,000
 SPREAD = (0.75, 1.3)        # and a part drawn for each
 MOST_SIDECARS = 100_000
+LEAST_PACE, MOST_PACE = 10_000, 10**10      # as `relay/config.py` has them
 STEP = 1024                 # a server's share is 1 + k / STEP: k tells which of its states is held somewhere
 
 
@@ -38,6 +39,8 @@
     relays_per_region: int = 2
     calls: int = 5
     popular: float = 0.0
+    played: int = 0             # regions whose sidecars and relays are started; 0: all
+    whole_bytes_per_s: int = 0  # of each relay, as its file would say; 0: its default
     processes: int = 0
     fault_s: float = 6.0
     faults: tuple[str, ...] = ()
@@ -58,10 +61,15 @@
             ("--regions", ask.regions, 1, 64), ("--zones", ask.zones, ask.regions, 1024),
             ("--changes-per-s", ask.changes_per_s, 0.0, 10_000.0), ("--for", ask.seconds, 1.0, 86_400.0),
             ("--relays-per-region", ask.relays_per_region, 1, 16), ("--calls", ask.calls, 1, 256),
-            ("--popular", ask.popular, 0.0, 2.0), ("--processes", ask.processes, 0, 64),
+            ("--popular", ask.popular, 0.0, 2.0),
+            ("--play-regions", ask.played, 0, ask.regions), ("--processes", ask.processes, 0, 64),
             ("--fault-for", ask.fault_s, 0.5, 3600.0)):
         if not least <= value <= most:
             raise BadAsk(f"{option}: {value} is not from {least} to {most}")
+    if ask.form == "direct" and (ask.played or ask.whole_bytes_per_s):
+        raise BadAsk("--form: only with relays can regions or a relay's pace be chosen")
+    if ask.whole_bytes_per_s and not LEAST_PACE <= ask.whole_bytes_per_s <= MOST_PACE:
+        raise BadAsk(f"--whole-bytes-per-s: {ask.whole_bytes_per_s} is not from {LEAST_PACE} to {MOST_PACE}")
     if ask.faults and ask.fault_s * len(ask.faults) > ask.seconds:
         raise BadAsk(f"--for: {len(ask.faults)} faults of {ask.fault_s:g} s do not fit in {ask.seconds:g} s")
     return ask
@@ -91,6 +99,14 @@
     def region_of(self, server: int) -> int:
         return self.zone_of[server] % self.ask.regions
 
+    def regions_played(self) -> int:
+        return self.ask.played or self.ask.regions
+
+    def played(self) -> list[int]:
+        """The sidecars that are started: all of some regions, as many for a relay as it will have."""
+        return [number for number in range(self.ask.sidecars)
+                if self.region_of(number) < self.regions_played()]
+
     def zone_name(self, zone: int) -> str:
         return f"{self.region_name(zone % self.ask.regions)}-z{zone}"
 
--- a/pumicepath/lab/hollow/run.py
+++ b/pumicepath/lab/hollow/run.py
@@ -35,6 +35,7 @@
                  settle_s: float = SETTLE_S) -> None:
         self.plan, self.folder, self.progress = plan, folder, progress
         self.hosts_wanted, self.settle_s = hosts, settle_s
+        self.count = len(plan.played())     # of sidecars that are started
         self.origins: list[Child] = []
         self.relays: list[Child] = []
         self.hosts: list[Child] = []
@@ -79,7 +80,7 @@
             self.forwarder = Child(["-m", "pumicepath.lab.hollow.forward", self.places[0]], self.folder,
                                    "forwarder")
             cut = self.forwarder.event("started")["listen"]
-        for relay in range(ask.regions * ask.relays_per_region):
+        for relay in range(self.plan.regions_played() * ask.relays_per_region):
             region = self.region_of_relay(relay)
             sources = {self.plan.region_name(at): place for at, place in enumerate(self.places)}
             if cut and region != 0:
@@ -88,6 +89,8 @@
             told = {"name": f"relay-{relay}", "sources": sources,
                     "listen": f"127.{8 + (region >> 8)}.{region & 255}.{relay % ask.relays_per_region + 1}:0",
                     "mostFollowers": max(4096, ask.sidecars)}
+            if ask.whole_bytes_per_s:
+                told["wholeBytesPerS"] = ask.whole_bytes_per_s
             path.write_text(json.dumps(told))
             child = Child(["-m", "pumicepath", "relay", "--config", str(path)], self.folder, f"relay-{relay}")
             self.relays.append(child)
@@ -109,17 +112,17 @@
                 child.tell({"do": "go"})
 
     def start_hosts(self) -> None:
-        ask = self.plan.ask
+        count = self.count
         began = time.monotonic()
         place = ",".join(self.relay_places) or self.places[0]
         for at in range(self.hosts_wanted):
-            first, last = (ask.sidecars * each // self.hosts_wanted for each in (at, at + 1))
+            first, last = (count * each // self.hosts_wanted for each in (at, at + 1))
             self.hosts.append(Child(["-m", "pumicepath.lab.hollow.host", str(self.folder), str(first),
                                      str(last - first), place], self.folder, f"host-{at}"))
-        within = START_S + START_EACH_S * ask.sidecars
+        within = START_S + START_EACH_S * count
         self.told = [host.event("ready", within) for host in self.hosts]
         self.start_s = time.monotonic() - began
-        self.progress(f"{ask.sidecars} sidecars have their first list after {self.start_s:.1f} s, "
+        self.progress(f"{count} sidecars have their first list after {self.start_s:.1f} s, "
                       f"{sum(one['held'] for one in self.told)} held servers")
 
     def end(self) -> None:
@@ -216,7 +219,7 @@
         lag = max(each["lag_us"] for each in told)
         verdict = Verdict(self.plan, changes, self.windows, lag)
         for host in self.hosts:
-            path = Path(host.ask({"do": "judge"}, "judged", START_S + START_EACH_S * ask.sidecars)["path"])
+            path = Path(host.ask({"do": "judge"}, "judged", START_S + START_EACH_S * self.count)["path"])
             verdict.add(orjson.loads(path.read_bytes()))
         window = told[0]["seconds"]
         each_bytes = sorted(count / window for one in told for count in one["bytes"])
@@ -227,12 +230,13 @@
         control_cpu = self.used(before, after, self.control, "cpu_s") / window
         figures = verdict.figures()
         return {
-            "sidecars": ask.sidecars, "processes": 1 + len(self.hosts) + len(self.origins) + len(self.relays)
-            + (self.forwarder is not None), "services": ask.services, **figures,
+            "sidecars": ask.sidecars, "played": self.count, "processes": 1 + len(self.hosts)
+            + len(self.origins) + len(self.relays) + (self.forwarder is not None),
+            "services": ask.services, **figures,
             "bytes_s_each": {"mean": round(sum(each_bytes) / len(each_bytes), 1),
                              "p99": round(quantile(each_bytes, 0.99), 1), "max": round(each_bytes[-1], 1)},
-            "core_share_each": round(cpu / ask.sidecars, 7),
-            "mb_each": round(sum(one["mb"] - one["base_mb"] for one in self.told) / ask.sidecars, 4),
+            "core_share_each": round(cpu / self.count, 7),
+            "mb_each": round(sum(one["mb"] - one["base_mb"] for one in self.told) / self.count, 4),
             "control": {
                 "machines": len(self.control),
                 "core_share": round(control_cpu, 4),
@@ -245,12 +249,13 @@
                         "bytes_s": round(origin_bytes, 1),
                         "connections": int(self.now_of(after, self.origins, "connections")),
                         "wholes": int(origin["wholes"])},
-            "held_each": round(sum(one["held"] for one in self.told) / ask.sidecars, 1),
+            "held_each": round(sum(one["held"] for one in self.told) / self.count, 1),
             "start_s": round(self.start_s, 1), "rig_lag_s": round(lag / 1e6, 3),
             "failed_calls": sum(one["failed"] for one in told),
             "judge_core_share": round(sum(one["judged_s"] / one["seconds"] for one in told), 3),
             "seconds": round(seconds, 1), "regions": ask.regions, "zones": ask.zones, "calls": ask.calls,
-            "changes_per_s": ask.changes_per_s, "form": ask.form, "relays_per_region":
+            "changes_per_s": ask.changes_per_s, "popular": ask.popular, "whole_bytes_per_s":
+            ask.whole_bytes_per_s, "form": ask.form, "relays_per_region":
             0 if direct else ask.relays_per_region, "faults": list(ask.faults), "seed": ask.seed,
             "python": f"{sys.version.split()[0]} {self.told[0]['form']}",
             "load_average": round(os.getloadavg()[0], 2)}
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -52,6 +53,9 @@
     (["--fault", "flood"], "--fault"), (["--fault", "region-cut"], "--fault"), (["--calls", "0"], "--calls"),
     (["--fault", "release", "--fault-for", "60"], "--for"), (["--popular", "nan"], "--popular"),
     (["--sidecars", "20000", "--services", "1900"], "--sidecars"),
+    (["--form", "relayed", "--play-regions", "3"], "--play-regions"), (["--play-regions", "1"], "--form"),
+    (["--whole-bytes-per-s", "16000000"], "--form"),
+    (["--form", "relayed", "--whole-bytes-per-s", "9999"], "--whole-bytes-per-s"),
     (["--form", "relayed", "--regions", "30", "--sidecars", "90", "--zones", "30",
       "--relays-per-region", "16"], "--relays-per-region")])
 def test_what_cannot_be_run_is_refused_by_the_option_before_anything_starts(
@@ -70,6 +74,16 @@
     needs.refuse(needs.needs(Plan(Ask(4_000, 380, regions=2, zones=6, form="relayed")), 4))
 
 
+def test_of_some_regions_all_sidecars_are_played_and_of_the_others_none() -> None:
+    ask = Ask(1_000, 95, regions=4, zones=8, form="relayed")
+    whole, some = Plan(ask), Plan(replace(ask, played=1))
+    assert whole.played() == list(range(1_000)) and some.calls == whole.calls
+    assert some.played() == [number for number in range(1_000) if whole.region_of(number) == 0]
+    assert 200 < len(some.played()) < 300
+    needed, less = needs.needs(whole, 4), needs.needs(some, 4)
+    assert less.held == sum(map(whole.held, some.played())) and less.processes == needed.processes - 6
+
+
 def test_bad_faults_do_not_fit_in_a_short_run() -> None:
     with pytest.raises(BadAsk, match="--for"):
         checked(Ask(12, 3, seconds=5.0, fault_s=3.0, faults=("release", "zone-lost")))
@@ -229,6 +243,20 @@
     assert 0 < found["held_each"] <= 12.0
 
 
+def test_one_region_of_two_is_played_beside_both_origins_with_relays_told_their_pace(
+        tmp_path: Path) -> None:
+    ended = CliRunner().invoke(main, [*SMALL, "--form", "relayed", "--changes-per-s", "10", "--for", "2",
+                                      "--fault", "control-restarted", "--fault-for", "1", "--play-regions",
+                                      "1", "--whole-bytes-per-s", "16000000", "--report", str(tmp_path)])
+    assert ended.exit_code == 0, ended.output
+    found = json.loads(ended.output)
+    assert found["sidecars"] == 12 and found["played"] == 6 and found["control"]["machines"] == 2
+    assert found["origins"]["processes"] == 2 and found["observed"] > 0 and found["recovered_s"] is not None
+    assert found["violations"] == {} and found["not_in_force"] == 0
+    files = sorted(tmp_path.glob("relay-*.json"))
+    assert [json.loads(file.read_text())["wholeBytesPerS"] for file in files] == [16_000_000] * 2
+
+
 @pytest.mark.parametrize("planted, kind", [
     ("ignores-drain", "old_at_end"), ("goes-back", "back"), ("origin-loses", "missing_at_end")])
 def test_faults_planted_in_processes_are_found(planted: str, kind: str, tmp_path: Path) -> None:
