--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -27,6 +27,7 @@
 MOST_LIST = 4 * 1024 * 1024
 LONGEST_WAIT_MS = 20_000
 RELAYED_WAIT_MS = 3_000     # with `services`: of the 6 s in which what a silent relay misses has to be had
+DOUBTED_WAIT_MS = 1_000     # the same, while it is open whether an origin has begun anew
 SHORTEST_PART = 0.5         # of the wait: guards discovery against all sidecars' waits ending together
 AT_ONCE_MS = 1
 SLACK_S = 0.4               # past a wait, of the 2 s in which the call after it has to be answered too
@@ -59,6 +60,7 @@
         self.doubted = True         # whether the next call is not to wait
         self.back = 0
         self.wait_ms = 0            # of the call that is out
+        self.asked = 0              # when, by `clock`
         self.waits(wait_us)
         self.wants(services)
         self.restart()
@@ -125,15 +127,27 @@
     def request(self) -> bytes:
         target = "/discovery/hosts"
         self.wait_ms = 0
+        self.asked = self.clock()
         if self.version >= 0:
             part = SHORTEST_PART + (1.0 - SHORTEST_PART) * self.share()
-            longest = self.longest_ms if self.services is None else min(self.longest_ms, RELAYED_WAIT_MS)
+            longest = self.longest_ms if self.services is None else min(self.longest_ms, self.relayed_ms())
             self.wait_ms = AT_ONCE_MS if self.doubted else max(AT_ONCE_MS, int(longest * part))
             target += f"?since={self.version}&timeout_ms={self.wait_ms}"
         if self.services is not None:
             target += f"{'&' if self.version >= 0 else '?'}services={self.services}"
         return writing.request("GET", target, [("Host", self.host)])
 
+    def relayed_ms(self) -> int:
+        """The longest wait at a relay.
+
+        Guards what an origin that has begun anew tells, which counts 6 s later, against waits behind which
+        it stays open for long whether the relay is only behind.
+        """
+        settled = self.merging.in_doubt() if self.merging is not None else None
+        if settled is None:
+            return RELAYED_WAIT_MS
+        return min(DOUBTED_WAIT_MS, max(AT_ONCE_MS, -(-(settled - self.asked) // 1000)))
+
     def until_silent(self) -> float:
         """For how many seconds the call that is out may bring nothing."""
         return self.wait_ms / 1000 + SLACK_S if self.wait_ms > AT_ONCE_MS else ANSWER_S
@@ -164,7 +178,7 @@
         held = self.roster.lines
         try:
             told, whole, version = understood(data["regions"]), bool(data["whole"]), int(data["seq"])
-            judged = merging.judge(self.clock(), told, whole)
+            judged = merging.judge(self.clock(), told, whole, self.asked)
             lines = merging.merge(judged, told, whole, data["hosts"], held)
         except (KeyError, TypeError, ValueError, AttributeError) as trouble:
             raise BadList(f"{type(trouble).__name__}: {trouble}") from trouble
--- a/pumicepath/distribution/origins.py
+++ b/pumicepath/distribution/origins.py
@@ -19,6 +19,7 @@
 AT_ONCE_MS = 1
 SLACK = 400_000             # past a wait
 ANSWER = 3_000_000          # for a call that does not wait
+LIVE = LONGEST_WAIT_MS * 1000 + SLACK   # after its last answer, until a region is out of touch
 STEP = 100_000              # before the second further dial; doubled up to
 LONGEST_STEP = 1_000_000
 MOST_BACK = 3               # whole lists in a row older than the one in force, until one is believed
@@ -83,6 +84,17 @@
         self.failures = 0
         self.live = True
 
+    def aged(self, spent: int) -> bool:
+        """So long after its last answer: whether it is out of touch by that, and was not before.
+
+        Guards followers, who take a relay in touch that is behind for an origin that has begun anew, against
+        word as old as a dial and a call that does not wait may make it, before these have failed.
+        """
+        if not self.live or spent <= LIVE:
+            return False
+        self.live = False
+        return True
+
     def failed(self, silent: bool = False, refused: bool = False) -> int:
         """Microseconds until it is dialled anew: at once after a first failure, then more and more, drawn."""
         self.doubted = True
--- a/pumicepath/distribution/regions.py
+++ b/pumicepath/distribution/regions.py
@@ -12,9 +12,12 @@
 from sys import intern
 from typing import Any, NamedTuple
 
-BELIEVED_US = 6_000_000     # for which a relay in touch has to name an older version, all the time
+# For which a relay in touch has to name an older version, all the time.  It says that it is in touch by word
+# of its origin that is 2.4 s old at most (`origins.LIVE`) and a turn of its loop; what was asked later than
+# that after a newer version was held is word of an origin that has begun anew.
+BELIEVED_US = 3_000_000
 GAP_US = 4_000_000          # between two answers, past which the relay has not said so all the time
-FEWEST = 3                  # answers that say so
+FEWEST = 3                  # answers that say so: one may be of a relay that was stopped amid a turn
 MOST_REGIONS = 64           # bounds what odd answers can fill
 
 Told = dict[str, tuple[int, bool]]  # by region: its origin's version, whether the relay is in touch with that
@@ -72,8 +75,14 @@
         return (sum(not live for _, live in self.told.values())
                 + sum(region not in self.told for region in self.kept))
 
-    def judge(self, now: int, told: Told, whole: bool) -> Judged:
-        """Which regions' parts count, in an answer that came now."""
+    def in_doubt(self) -> int | None:
+        """When the next answer can tell whether an origin has begun anew; None where none is in doubt."""
+        if not self.older:
+            return None
+        return min(known.since for known in self.older.values()) + BELIEVED_US
+
+    def judge(self, now: int, told: Told, whole: bool, asked: int) -> Judged:
+        """Which regions' parts count, in an answer that came now to what was asked then."""
         judged = Judged({}, [], False)
         for region in [region for region in self.older if region not in told]:
             del self.older[region]
@@ -81,7 +90,7 @@
             kept = self.kept.get(region, -1)
             if seq >= kept:
                 self.older.pop(region, None)
-            elif self.outlasted(now, region, live):
+            elif self.outlasted(now, region, live, asked):
                 judged.restarted.append(region)
             else:
                 continue
@@ -96,7 +105,7 @@
                 judged = judged._replace(again=True)
         return judged
 
-    def outlasted(self, now: int, region: str, live: bool) -> bool:
+    def outlasted(self, now: int, region: str, live: bool, asked: int) -> bool:
         """Whether an older version has been named for so long that the origin must have begun anew.
 
         Guards against a relay that lags, or that was stopped and still believes itself in touch.
@@ -108,7 +117,7 @@
         if known is None or now - known.last > GAP_US:
             known = Older(now, now, 0)
         self.older[region] = known = Older(known.since, now, known.answers + 1)
-        return now - known.since >= BELIEVED_US and known.answers >= FEWEST
+        return asked - known.since >= BELIEVED_US and known.answers >= FEWEST
 
     def take(self, told: Told, judged: Judged) -> None:
         """Keep what was judged, once the list has been read."""
--- a/pumicepath/relay/upstreams.py
+++ b/pumicepath/relay/upstreams.py
@@ -49,6 +49,8 @@
 
     def woke(self, now: int) -> None:
         if now < self.at:
+            if self.origin.aged(now - self.since):
+                self.relay.turned(self, "late", now)
             return
         if self.sock is None:
             self.connect(now)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -10,7 +10,7 @@
 
 from pumicepath.distribution.held import Held
 from pumicepath.distribution.interests import EVERY, PLAIN, Interest, interest_of
-from pumicepath.distribution.origins import ANSWER, MOST_BACK, SLACK, Origin, Refused
+from pumicepath.distribution.origins import ANSWER, LIVE, MOST_BACK, SLACK, Origin, Refused
 from pumicepath.distribution.pace import LONGEST, Pace
 from pumicepath.distribution.subscriptions import NEVER, SPREAD, Subscriptions
 
@@ -393,6 +393,18 @@
     assert origin.live and "timeout_ms=2000" in origin.target()
 
 
+def test_by_word_of_more_than_2_4_s_nothing_is_in_touch_whatever_call_is_out() -> None:
+    origin = Origin("eu", lambda: 1.0)
+    assert not origin.aged(10 * LIVE), "it has not been in touch yet"
+    origin.answered(41)
+    assert origin.failed() == 0 and origin.live and origin.silent() == ANSWER > LIVE
+    assert not origin.aged(LIVE) and origin.live
+    assert origin.aged(LIVE + 1) and not origin.live
+    assert not origin.aged(LIVE + 2), "told once"
+    origin.answered(42)
+    assert origin.live
+
+
 def test_one_reset_is_not_out_of_touch_two_are_and_dials_come_slower_and_slower() -> None:
     draw = random.Random(1)
     origin = Origin("eu", draw.random)
