--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -105,6 +105,10 @@
        for fault, text in (("control-restarted", "all relays restarted"), ("zone-lost",
             "a zone gone and back"),
                            ("region-cut", "a region's discovery cut off from other regions' relays"))},
+    **{f"region-of-all-{fault}_s": Known(
+        f"a region's two relays and sidecars, hollow, of a fleet: {text}, from its end until all is in force",
+        "s", "sidecars of the fleet") for fault, text in (
+            ("control-restarted", "both restarted"), ("control-killed", "one killed, and back"))},
     **{f"{side}_{name}": Known(f"{text}, {side}, 100 side by side", unit, SERVERS, form)
        for side in ("real", "hollow") for name, text, unit, form in (
            ("list_mb", "memory of a sidecar", "MB", ""), ("told_us", "CPU of a change told", "us", ""),
@@ -243,7 +247,9 @@
     found: dict[str, Any] = {}
     groups: dict[tuple[Any, ...], list[dict[str, Any]]] = {}
     for one in runs:
-        groups.setdefault((one["result"]["form"], *one["result"]["faults"]), []).append(one)
+        result = one["result"]
+        some = result.get("played", result["sidecars"]) < result["sidecars"]
+        groups.setdefault((result["form"], some, *result["faults"]), []).append(one)
     for group in groups.values():
         found |= of_runs(group)
     found |= of_pairs(hollow.pairs(paths))
--- a/pumicepath/relay/config.py
+++ b/pumicepath/relay/config.py
@@ -68,7 +68,7 @@
         admin=where("admin", told["admin"]) if told.get("admin") is not None else None,
         batch=whole(told, "batchMs", 50, 0, 1000) * 1000,
         most_followers=whole(told, "mostFollowers", 4096, 1, 100_000),
-        whole_bytes_per_s=whole(told, "wholeBytesPerS", 4_000_000, 10_000, 10**10),
+        whole_bytes_per_s=whole(told, "wholeBytesPerS", 64_000_000, 10_000, 10**10),
         history_changes=whole(told, "historyChanges", 10_000, 1, 10**7),
     )
 
