--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -88,6 +88,7 @@
     "peer_kb": Known("memory of the membership of one sidecar", "kB", PEERS, PLAIN),
     "voter_messages": Known("messages a second from a voter, 200 duties", "a second", PEERS, NO),
     "voter_bytes": Known("bytes a second from a voter, 200 duties", "bytes a second", PEERS, NO),
+    "voter_cpu_us": Known("CPU of a voter's decisions, 200 duties", "us a second", PEERS, PLAIN),
     "followed_mb": Known("memory of a `serve` at rest that follows a relay", "MB", SERVERS),
     "followed_cpu_ms": Known("CPU of a `serve` at rest that follows a relay", "ms a second", SERVERS),
     "relay_mb": Known("memory of a relay, 20,000 servers held", "MB", FOLLOWERS),
--- a/benchmarks/holding.py
+++ b/benchmarks/holding.py
@@ -4,22 +4,36 @@
 
 import multiprocessing
 import os
+import time
+from collections.abc import Callable
 from multiprocessing.connection import Connection
 from pathlib import Path
 from random import Random
+from typing import Any
 
 from duties import Wanting
 
 from pumicepath.lab.model.links import Links
 from pumicepath.lab.model.timeline import SECOND, Virtual
-from pumicepath.lab.virtual.peers import Peering
+from pumicepath.lab.virtual.peers import Node, Peering
 
 VOTERS = 3
 LEASE_S = 10.0
 
 
+def timed(node: Node, spent: dict[int, float]) -> None:
+    """Add up the CPU seconds of all that one sidecar's part of the fleet decides, membership with it."""
+    def wrapped(call: Callable[..., None]) -> Callable[..., None]:
+        def timing(*given: Any) -> None:
+            began = time.thread_time()
+            call(*given)
+            spent[node.number] += time.thread_time() - began
+        return timing
+    node.came, node.woke = wrapped(node.came), wrapped(node.woke)            # type: ignore[method-assign]
+
+
 def held(count: int, duties: int, seed: int) -> dict[str, float]:
-    """Messages and bytes a second from the busiest voter, each duty wanted by one.
+    """Messages, bytes and us of CPU a second of the busiest voter, each duty wanted by one.
 
     RuntimeError if any is free then.
     """
@@ -40,13 +54,17 @@
     fleet.time.run(fleet.time.now + 20 * SECOND)
     fleet.links.sent.clear()
     fleet.links.bytes.clear()
+    spent = dict.fromkeys(range(VOTERS), 0.0)
+    for each in spent:
+        timed(fleet.peering.nodes[each], spent)
     fleet.time.run(fleet.time.now + 20 * SECOND)
     sum_ = sum(len(node.fellow.duties.held(node.clock())) for node in fleet.peering.nodes
                if node.fellow is not None and node.fellow.duties is not None)
     if sum_ != duties:
         raise RuntimeError(f"{sum_} of {duties} duties are held")
     return {"voter_messages": max(fleet.links.sent[each] for each in range(VOTERS)) / 20,
-            "voter_bytes": max(fleet.links.bytes[each] for each in range(VOTERS)) / 20}
+            "voter_bytes": max(fleet.links.bytes[each] for each in range(VOTERS)) / 20,
+            "voter_cpu_us": max(spent.values()) / 20 * 1e6}
 
 
 def resident_kb() -> float:
--- a/pumicepath/lab/capacity/roles.py
+++ b/pumicepath/lab/capacity/roles.py
@@ -164,6 +164,8 @@
             "200 duties, leases of 10 s", ("voter_messages",), voter),
         Row("", "bytes from a voter, a zone", capacity.at("voter_bytes", target.zone), "bytes a second",
             target.bytes_s, "200 duties, leases of 10 s", ("voter_bytes",), voter),
+        Row("", "CPU of a voter, a zone", capacity.at("voter_cpu_us", target.zone).over(1e4), "% of a core",
+            target.core * 100, "200 duties, leases of 10 s, decisions alone", ("voter_cpu_us",), voter),
     ]
 
 
