A relay that loses one region after the other is left as soon as it hears nothing

Seen: in the full suite test_relayed_sidecars[deaf] failed once: a sidecar sent to a draining server 7.6 s after discovery had it. Its relay hears neither origin; each silence is known at its own time, so that a follower told between the two hears of one region out of two: Homes.looks then set the look at another relay 5 to 10 s ahead, and did not bring it forward when nothing was in touch any more. Change: with no region in touch the look is brought forward.

--- a/pumicepath/distribution/homes.py
+++ b/pumicepath/distribution/homes.py
@@ -105,11 +105,14 @@
                 self.look_span = LOOK_US
             return False
         self.well_since = -1
-        if not self.look_at:
+        if not self.look_at and live:
+            self.look_at = now + self.drawn(self.look_span)
+        elif not live:
             # Guards what changes meanwhile, told as of 6 s later, against a relay that hears nothing
             # of any origin where others do: after 2.4 s it knows, and tells its followers over a second.
-            soon = self.drawn(self.look_span // SOONER) if self.look_span > LOOK_US else 0
-            self.look_at = now + (self.drawn(self.look_span) if live else soon)
+            # Also where it has told of one region before the others.
+            soon = now + (self.drawn(self.look_span // SOONER) if self.look_span > LOOK_US else 0)
+            self.look_at = min(self.look_at or soon, soon)
         if now < self.look_at or len(self.order) < 2:
             return False
         # Guards relays against sidecars that look about for as long as a region is cut off from all.
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -198,6 +198,18 @@
     assert not homes.answered(0, 1, 1), "one region that is out of touch may be so everywhere"
 
 
+def test_a_relay_that_loses_one_region_after_the_other_is_left_as_soon_as_it_hears_nothing() -> None:
+    homes = Homes("n0", ["a:1", "b:1", "c:1"], lambda: 0.5)
+    first = homes.at
+    assert not homes.answered(0, 2, 0)
+    assert not homes.answered(SECOND, 1, 1), "one region may be out everywhere: looked for in its time"
+    assert homes.answered(2 * SECOND, 0, 2) and homes.at != first
+    # Where no other is better the next look is not earlier for that.
+    homes.answered(3 * SECOND, 0, 2)
+    looks = [at for at in range(3, 60) if homes.answered(at * SECOND, 0, 2)]
+    assert 0 < len(looks) < 20, looks
+
+
 def test_where_a_region_is_cut_off_from_all_relays_nobody_goes_to_and_fro() -> None:
     fleet = Fleet(200, RELAYS, step=3 * SECOND)
     fleet.live = lambda now, relay: (9, 1) if now > 10 * SECOND else (10, 0)
