A new process tells the one before it that it takes clients before its log says so

Cause: `Succession.follow` logged "succeeding" and only then told the old process; killed in between, the old one never knew that it was followed and never says that it is alone.

Changed: told first, logged then. A test stands at that line of the log and finds the message on the line; without the change it fails.

--- a/pumicepath/lab/loopback/scripted.py
+++ b/pumicepath/lab/loopback/scripted.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -19,6 +20,8 @@
 from ...http1.messages import Response
 from ...http1.parsing import RequestParser, ResponseParser
 
+EVENT_S = 60.0              # that a sidecar may take to log what it must, however slow the machine is
+
 
 def answer(status: int, body: str = "", *headers: tuple[str, str]) -> bytes:
     return writing.response(status, list(headers), body.encode(), True)
@@ -79,6 +82,34 @@
         self.closed.release()
 
 
+class Log:
+    """The events of one process, read as they come: no full pipe holds it up, nor it a test."""
+
+    def __init__(self, process: subprocess.Popen) -> None:
+        self.process = process
+        self.events: queue.SimpleQueue[dict[str, Any] | None] = queue.SimpleQueue()
+        threading.Thread(target=self.read, daemon=True).start()
+
+    def read(self) -> None:
+        for line in self.process.stdout or ():
+            self.events.put(json.loads(line))
+        self.events.put(None)
+
+    def next(self, names: tuple[str, ...]) -> dict[str, Any]:
+        """The next event of one of these names; raises AssertionError if it does not come."""
+        end = time.monotonic() + EVENT_S
+        while True:
+            try:
+                event = self.events.get(timeout=max(0.0, end - time.monotonic()))
+            except queue.Empty:
+                raise AssertionError(f"no event {' or '.join(names)} within {EVENT_S:g} s") from None
+            if event is None:
+                self.events.put(None)
+                raise AssertionError(f"the log ended before {' or '.join(names)}")
+            if event["event"] in names:
+                return event
+
+
 class Deployment:
     """One sidecar as a process of its own, with the stand-ins around it and one connection of its client."""
 
@@ -102,6 +133,7 @@
         self.config.write_text(json.dumps(self.told))
         self.number = 0
         self.environment: dict[str, str] = {}
+        self.logs: dict[subprocess.Popen, Log] = {}
 
     def listing(self, seq: int, whole: bool, health: str) -> dict:
         return {"seq": seq, "whole": whole, "hosts": [
@@ -127,7 +159,9 @@
     def begun(self) -> subprocess.Popen:
         command = [sys.executable, "-m", "pumicepath", "serve"]
         environment = {**os.environ, **self.environment, "GW_CONFIG": str(self.config)}
-        return subprocess.Popen(command, stdout=subprocess.PIPE, env=environment)
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, env=environment)
+        self.logs[process] = Log(process)
+        return process
 
     def send(self, tariff: str, expires: int = 2000, method: str = "POST", body: str = "",
              sock: socket.socket | None = None) -> None:
@@ -163,9 +197,6 @@
         lines = response.body.decode().split() if response is not None else []
         return {name: int(value) for name, _, value in (line.partition("=") for line in lines)}
 
-    def event(self, name: str, process: subprocess.Popen | None = None) -> dict:
+    def event(self, *names: str, process: subprocess.Popen | None = None) -> dict[str, Any]:
         """The next such event of the log."""
-        log = (process or self.process).stdout
-        assert log is not None
-        events: Iterator[dict[str, Any]] = map(json.loads, log)
-        return next(event for event in events if event["event"] == name)
+        return self.logs[process or self.process].next(names)
--- a/pumicepath/sidecar/succession.py
+++ b/pumicepath/sidecar/succession.py
@@ -170,9 +170,11 @@
         self.lines[before] = None
         self.dispatcher.share(1, 2)
         self.clients.share(2, 3)
-        self.dispatcher.events.event("succeeding")
         with suppress(OSError):
             before.send({"taking": True})
+        # Only once it is told: whoever reads it may end this process, and the one before must know by then
+        # that it had stopped taking clients, else it never says that it is alone again.
+        self.dispatcher.events.event("succeeding")
         start(lambda: self.hear(before, False))
 
     def offer(self) -> None:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -153,8 +153,8 @@
         first.turn("busy")
         after = around.begun()
         try:
-            around.event("started", after)
-            around.event("succeeding", after)
+            around.event("started", process=after)
+            around.event("succeeding", process=after)
             around.process.kill()
             around.process.wait()
             calls = len(second.asked)
@@ -175,7 +175,7 @@
         around.write(relays=None)
         after = around.begun()
         try:
-            around.event("started", after)
+            around.event("started", process=after)
             assert around.discovery.met.acquire(timeout=20)
             assert around.discovery.lines == ["discovery: GET /discovery/hosts"], "versions are others"
         finally:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -353,8 +353,11 @@
     follower = Follower(relay.where)
     follower.follow(lambda: live(follower))
     pid = relay.process.pid
+    open_before = set(os.listdir(f"/proc/{pid}/fd"))
     then, turns = time.monotonic(), relay.stats()["turns"]
-    used = max(int(name) for name in os.listdir(f"/proc/{pid}/fd")) + 1
+    # Else the descriptor of this call, closed a moment later, would be one for the late follower.
+    until(lambda: set(os.listdir(f"/proc/{pid}/fd")) == open_before)
+    used = max(map(int, open_before)) + 1
     before = resource.prlimit(pid, resource.RLIMIT_NOFILE)
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (used, before[1]))
     late = Follower(relay.where)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -16,10 +16,10 @@
 from pumicepath.http1 import writing
 from pumicepath.http1.parsing import RequestParser, ResponseParser
 from pumicepath.lab.loopback.scripted import Deployment, Peer, answer, next_of
-from pumicepath.sidecar.succession import NAME, Short, Succession, reach
+from pumicepath.sidecar.succession import NAME, Line, Short, Succession, reach
 
 from .helpers import compare
-from .rig import held, until
+from .rig import Rig, held, until
 
 
 class Counting(Peer):
@@ -121,7 +121,7 @@
         say("/servers/s-0/ready")
         see("back at the new", first, around.operators)
         say("/healthcheck/fail")
-        around.event("emptied", old)
+        around.event("emptied", process=old)
         old.send_signal(signal.SIGTERM)
         assert old.wait(timeout=6) == 0
         last, _ = replaced(around)
@@ -152,13 +152,29 @@
     assert around.lines[-1] == "client: 200 by the old one"
 
 
+def test_the_one_before_is_told_before_the_log_says_that_it_is_followed(tmp_path: Path) -> None:
+    """Whoever reads the log may end the new process there: the old one has to know by then."""
+    rig, (here, there) = Rig(tmp_path), socket.socketpair()
+    there.settimeout(0)
+    told = []
+
+    class Dies:
+        def event(self, event: str, **figures: object) -> None:
+            if event == "succeeding":
+                told.append(Line(there).receive()[0])
+    rig.dispatcher.events = Dies()  # type: ignore[assignment]
+    Succession(rig.dispatcher, rig.clients, dict, Address("127.0.0.1", 1)).follow(Line(here))
+    there.close()
+    assert told == [{"taking": True}]
+
+
 def test_of_two_new_processes_at_once_either_may_end_and_the_other_serves(tmp_path: Path) -> None:
     around = replaceable(tmp_path, 1)
     with around.running():
         old = around.process
         first, second = around.begun(), around.begun()
         for process in (first, second):
-            around.event("succeeding", process)  # none of them has started from nothing
+            around.event("succeeding", process=process)  # none of them has started from nothing
         around.client, around.parser = socket.create_connection(around.where), ResponseParser()
         around.ask("read", answer(200, "by one of them"))
         first.kill()
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -37,8 +37,7 @@
     around.lists.put(answer(200, json.dumps(around.listing(2, True, "active"))))
     around.config.write_text(json.dumps(told))
     around.process.send_signal(signal.SIGHUP)
-    events = (json.loads(line) for line in around.process.stdout or ())
-    event = next(event for event in events if event["event"] in ("reloaded", "reload_failed"))
+    event = around.event("reloaded", "reload_failed")
     return " ".join(str(event.get(key)) for key in (
         "event", "settings", "tariffs", "without_effect", "needs_restart"))
 
