Sidecars without relays take no more memory than before there were any

Ruled out: a module of `distribution` (a test has none loaded). It is code: 407 lines in modules that every sidecar loads, and a command line that imports the commands of all groups.

Changed: `Commands` imports the command that is called alone; what a watch does at relays stands in sidecar/following.py, sidecar/relay_keys.py and discovery/relayed.py, moved as it was. Help lists commands in the order of use, serve first.

Test: without relays none of these modules nor of other commands is loaded. A test's patch of the dial names the new place. test_all_that_a_run_started_ends_with_it failed in two runs of two started in the background of a shell without job control, which have SIGINT ignored; its child takes SIGINT now whoever starts it, as other tests' children do.

--- a/pumicepath/command.py
+++ b/pumicepath/command.py
@@ -1,14 +1,32 @@
-"""The command line; each group's commands stand in `commands`."""
+"""The command line; commands stand in `commands`, of which only what is called is imported."""
 
 from __future__ import annotations
 
+from importlib import import_module
+
 import click
 
 from . import __version__
-from .commands import demo, lab, peers, relay, sidecar
 
+# Command by command the module of `commands` that has it, in the order in which help shows them.
+WHERE = {"serve": "sidecar", "check": "sidecar", "relay": "relay", "peers": "peers", "lab": "lab",
+         "demo": "demo"}
+
+
+class Commands(click.Group):
+    """Imports what is called: a sidecar runs beside each process, and holds no code of other commands."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return [*WHERE, *super().list_commands(ctx)]
 
-@click.group()
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in WHERE:
+            return super().get_command(ctx, cmd_name)
+        command: click.Command = getattr(import_module(f".commands.{WHERE[cmd_name]}", __package__), cmd_name)
+        return command
+
+
+@click.group(cls=Commands)
 def main() -> None:
     """A load balancer beside each calling process."""
 
@@ -17,11 +35,3 @@
 def version() -> None:
     """Print the version."""
     click.echo(__version__)
-
-
-main.add_command(sidecar.serve)
-main.add_command(sidecar.check)
-main.add_command(peers.peers)
-main.add_command(relay.relay)
-main.add_command(lab.lab)
-main.add_command(demo.demo)
--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from time import monotonic_ns
 from typing import TYPE_CHECKING, Any
 
@@ -162,46 +162,13 @@
         except ValueError as trouble:
             raise BadList(str(trouble)) from trouble
         if self.merging is not None and isinstance(data, dict) and "regions" in data:
-            return self.merged(self.merging, data)
+            from .relayed import merged
+            return merged(self, self.merging, data)
         update = self.roster.read(data, self.believed)
         self.version = update.version
         self.doubted = False
         return update
 
-    def merged(self, merging: Regions, data: dict[str, Any]) -> Update:
-        """What a relay's answer says, without what is older than what was taken.
-
-        Of a whole list the differences from the one held, with all that it does not speak of: when relays die
-        all sidecars get whole lists at once, of which hardly a line is new.
-        """
-        from ..distribution.regions import understood
-        held = self.roster.lines
-        try:
-            told, whole, version = understood(data["regions"]), bool(data["whole"]), int(data["seq"])
-            judged = merging.judge(self.clock(), told, whole, self.asked)
-            lines = merging.merge(judged, told, whole, data["hosts"], held)
-        except (KeyError, TypeError, ValueError, AttributeError) as trouble:
-            raise BadList(f"{type(trouble).__name__}: {trouble}") from trouble
-        if not whole and version < self.version or not whole and self.version < 0:
-            raise BadList(f"changes up to {version} after {self.version}")
-        if not judged.taken:
-            lines = []
-        elif whole and held and not lines:
-            # Guards all servers against one empty list; a service that has none left is believed in the end.
-            self.empty += 1
-            if self.empty < MOST_BACK:
-                raise BadList("an empty list")
-        if lines:
-            self.empty = 0
-        anew = whole and bool(judged.taken) and not held
-        if whole and judged.taken and held:
-            lines = differences(held, lines)
-        update = self.roster.read({"seq": version, "whole": anew, "hosts": lines})
-        merging.take(told, judged)
-        self.version = -1 if judged.again else version
-        self.doubted = False
-        return update
-
     def believed(self, update: Update) -> None:
         """Raises BadList for what would undo the list in force.
 
@@ -217,10 +184,3 @@
         if not update.whole or self.back < MOST_BACK:
             raise BadList(f"version {update.version} after {self.version}")
         self.back = 0
-
-
-def differences(held: Mapping[str, Any], lines: Sequence[dict[str, Any]]) -> list[dict[str, Any]]:
-    """What has to be told so that what is held becomes these lines, by servers that each stand there once."""
-    here = {line["host"] for line in lines}
-    gone = [{**line, "health": "left"} for name, line in held.items() if name not in here]
-    return gone + [line for line in lines if held.get(line["host"]) != line]
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -24,11 +24,6 @@
 EXPECTED = ("name", "seed", "limits", "listen", "discovery", "peers", "relays", "services")
 FEWEST = 8                  # connections, below which nothing can be served
 CONNECTION_KB = 140         # a connection with its thread and full bodies both ways: 132 measured
-MOST_RELAYS = 64
-MOST_SERVICES = 256
-LONGEST_SERVICES = 12_000   # bytes of all names, which have to fit into the head of one request
-LONGEST_SERVICE = 64
-OF_SERVICES = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-"
 
 
 class BadConfig(Exception):
@@ -109,44 +104,14 @@
     return found
 
 
-def relays(told: dict[str, Any]) -> tuple[str, ...]:
-    """The relays that take discovery's place; none where nothing speaks of them."""
-    found = told.get("relays")
-    if found is None:
-        return ()
-    if not isinstance(found, list) or not 0 < len(found) <= MOST_RELAYS:
-        raise ValueError(f"relays: {found!r} is no list of 1 to {MOST_RELAYS} addresses")
-    for at, text in enumerate(found):
-        with named(f"relays[{at}]"):
-            if not isinstance(text, str) or not address(text).port:
-                raise ValueError(f"{text!r} is no address")
-            if text in found[:at]:
-                raise ValueError(f"{text!r} is named twice")
-    if not told.get("name"):
-        # Guards relays against sidecars that all have the same order of them.
-        raise ValueError("name: '' is no name, as sidecars at relays need one each")
-    return tuple(found)
-
-
-def services(told: dict[str, Any]) -> tuple[str, ...] | None:
-    """What is followed at relays."""
-    found = told.get("services")
+def relays(told: dict[str, Any]) -> tuple[tuple[str, ...], tuple[str, ...] | None]:
+    """The relays in discovery's place, and what is followed there; none where nothing speaks of them."""
     if told.get("relays") is None:
-        if found is not None:
+        if told.get("services") is not None:
             raise ValueError("services: there are none without relays")
-        return None
-    if found is None:
-        return ("*",)
-    if not isinstance(found, list) or len(found) > MOST_SERVICES:
-        raise ValueError(f"services: no list of 0 to {MOST_SERVICES} names")
-    for at, name in enumerate(found):
-        if not isinstance(name, str) or not 0 < len(name) <= LONGEST_SERVICE or name.strip(OF_SERVICES):
-            raise ValueError(f"services[{at}]: {name!r} is no name of 1 to 64 of A-Z a-z 0-9 . _ -")
-        if name in found[:at]:
-            raise ValueError(f"services[{at}]: {name!r} is named twice")
-    if sum(len(name) + 1 for name in found) > LONGEST_SERVICES:
-        raise ValueError(f"services: longer than {LONGEST_SERVICES} bytes together")
-    return tuple(sorted(found))
+        return (), None
+    from . import relay_keys
+    return relay_keys.relays(told), relay_keys.services(told)
 
 
 @contextmanager
@@ -200,6 +165,7 @@
         discovery = address(told["discovery"])
     with named("seed"):
         seed = int(str(told.get("seed", "0")), 16)
+    followed, services = relays(told)
     return Config(
         name=str(told.get("name", "")),
         listen=listen,
@@ -218,6 +184,6 @@
         admin=second(told),
         keys=present(info) | {key for key in EXPECTED if key in told},
         peers=peers(told),
-        relays=relays(told),
-        services=services(told),
+        relays=followed,
+        services=services,
     )
--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -8,7 +8,7 @@
 from time import monotonic, sleep
 from typing import TYPE_CHECKING
 
-from ..discovery.roster import NOTHING, Address, BadList, address
+from ..discovery.roster import NOTHING, Address, BadList
 from ..discovery.watch import Overtaxed, Watch
 from ..http1.messages import Malformed, Response
 from ..interface import Listing
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from ..distribution.homes import Homes
+    from .following import Following
 
 DIAL_S = 0.5                # of the 2 s that a silent watch leaves; doubled each time that is not enough
 LONGEST_DIAL_S = 2.0
@@ -31,12 +32,9 @@
     def __init__(self, watch: Watch, where: Address, pushed: bool = False,
                  homes: Homes | None = None) -> None:
         self.watch = watch
-        self.homes = homes
+        self.following: Following | None = None
+        self.follows(homes)
         self.coming: tuple[Homes | None, tuple[str, ...] | None] = homes, None  # what a move brings
-        self.answering = ""         # the relay that answered last
-        self.heard = 0.0            # when
-        self.trouble = ""           # of the last call that failed
-        self.stale: dict[str, float] = {}       # regions out of touch there, since when
         self.hurry = threading.Event()          # no waiting for the next dial of a relay
         self.where = where
         self.pushed = pushed        # what discovery has counts as told, whether or not it has been read
@@ -52,6 +50,20 @@
         self.dispatcher: Dispatcher
         self.sock: socket.socket | None = None
 
+    @property
+    def homes(self) -> Homes | None:
+        return self.following.homes if self.following is not None else None
+
+    def follows(self, homes: Homes | None) -> None:
+        """At these relays, or at discovery: then what it takes to follow relays is not even imported."""
+        if homes is None:
+            self.following = None
+        elif self.following is not None:
+            self.following.homes = homes
+        else:
+            from .following import Following
+            self.following = Following(self, homes)
+
     def follow(self) -> None:
         self.wanted.set()
 
@@ -82,8 +94,8 @@
         """Ask again: at once, after a step, or when the balancer wants it."""
         self.close()
         self.watch.doubted = True
-        if self.homes is not None and not self.moved:
-            self.elsewhere(self.homes, trouble)
+        if self.following is not None and not self.moved:
+            self.following.failed(trouble)
             return
         if self.moved or monotonic() - self.moved_at < MOVING_S:
             # Guards what has changed meanwhile, which counts as told soon after the move, against a new
@@ -122,77 +134,16 @@
                 self.dispatcher.listed(Listing.FULL if update.whole else Listing.CHANGES, update)
             first = False
             self.asked.set()
-            homes = self.homes
-            if homes is not None:
-                self.heard_of(homes)
+            following = self.following
+            if following is not None:
+                following.answered()
             if self.failures > 1:
                 self.dispatcher.events.event("watch_back", failures=self.failures, seq=update.version)
             self.failures = 0
             if not response.keeps():
                 self.close()
-            if homes is not None and homes.answered(clock.now(), *self.watch.standing()):
-                self.change(homes)
-
-    # -- at relays
-
-    def elsewhere(self, homes: Homes, trouble: Exception) -> None:
-        """A relay has failed: the next, after a wait that grows with each failure in a row.
-
-        Guards against a storm: when a relay dies, thousands of sidecars learn of it at one moment.
-        """
-        self.failures += 1
-        self.trouble = f"{type(trouble).__name__}: {trouble}"
-        expected = isinstance(trouble, (OSError, Malformed, BadList))
-        if self.failures == 1 or not expected:
-            self.dispatcher.events.event("watch_failed" if expected else "fault", text=self.trouble,
-                                         relay=homes.at)
-        wait = homes.failed(clock.now(), self.dialling)
-        if self.failures > len(homes.order):
-            self.asked.set()
-        self.hurry.wait(wait / 1e6)
-        self.wanted.set()
-
-    def heard_of(self, homes: Homes) -> None:
-        """Say what an answer changes: the relay followed, regions that it is in touch with or not."""
-        now, events = monotonic(), self.dispatcher.events
-        if homes.at != self.answering:
-            why = homes.why or "start"
-            live, out = self.watch.standing()
-            events.event("relay_changed", **{"from": self.answering}, to=homes.at,
-                         why=self.trouble if why == "failed" else why, failures=self.failures,
-                         live=live, out=out, silent_s=round(now - self.heard, 3) if self.answering else 0.0)
-            if self.answering:
-                self.dispatcher.figures.count("relay_changes")
-            self.answering = homes.at
-        self.heard = now
-        out_of_touch = self.watch.stale()
-        for region, seq in out_of_touch.items():
-            if region not in self.stale:
-                self.stale[region] = now
-                events.event("region_stale", region=region, seq=seq, relay=homes.at)
-        for region in [region for region in self.stale if region not in out_of_touch]:
-            since = self.stale.pop(region)
-            events.event("region_back", region=region, relay=homes.at, after_s=round(now - since, 3))
-
-    def change(self, homes: Homes) -> None:
-        """Leave one relay that answers for another, once that can be dialled."""
-        try:
-            sock = dialled(address(homes.at))
-        except OSError:
-            if homes.before is None:
-                self.dialling = True
-                raise
-            # Guards the watch that works against one that can't be had, or no descriptor for it: it goes on.
-            homes.failed(clock.now())
-            return
-        with self.gate:
-            old, self.sock = self.sock, sock
-        if old is not None:
-            old.close()
-        if self.moved:
-            raise ConnectionAbortedError("the relays are others")
-        self.watch.move(homes.at)
-        self.watch.restart()
+            if following is not None and following.homes.answered(clock.now(), *self.watch.standing()):
+                following.change()
 
     # -- connections
 
@@ -202,16 +153,12 @@
             if self.moved:
                 self.moved = False
                 self.hurry.clear()
-                self.homes, services = self.coming
-                if self.homes is None:
-                    self.answering = ""
-                    self.stale.clear()
+                homes, services = self.coming
+                self.follows(homes)
                 self.watch.wants(services)
                 self.watch.move(f"{where.host}:{where.port}")
-            if self.homes is not None:
-                where = address(self.homes.at)
-                if self.watch.host != self.homes.at:
-                    self.watch.move(self.homes.at)
+            if self.following is not None:
+                where = self.following.where()
             self.dialling = False
             self.sock = sock = opened(where)
         sock.settimeout(self.dial)
@@ -263,15 +210,3 @@
 
 def opened(where: Address) -> socket.socket:
     return socket.socket(socket.AF_INET6 if ":" in where.host else socket.AF_INET)
-
-
-def dialled(where: Address) -> socket.socket:
-    sock = opened(where)
-    try:
-        sock.settimeout(DIAL_S)
-        sock.connect(where)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    except OSError:
-        sock.close()
-        raise
-    return sock
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -206,11 +206,14 @@
     expected = ["since=1&timeout_ms=1", "since=8&timeout_ms=17406", "since=9&timeout_ms=19394",
                 "since=10&timeout_ms=18322"]
     assert asked == [f"GET /discovery/hosts?{each} HTTP/1.1\r\nHost: {where}\r\n\r\n" for each in expected]
-    code = ("import sys; from pumicepath.sidecar import config, running;"
+    code = ("import sys; from pumicepath.command import main; main.get_command(None, 'serve');"
+            "from pumicepath.sidecar import config, running;"
             "from pumicepath.discovery.watch import Watch;"
             f"c = config.read({str(around.config)!r}); Watch(None, '', 1, 1);"
             "assert running.following(c) is None;"
-            "print([name for name in sys.modules if 'distribution' in name])")
+            "print([name for name in sys.modules if 'distribution' in name or 'relay' in name"
+            " or name == 'pumicepath.sidecar.following'"
+            " or name in ('pumicepath.commands.' + each for each in ('lab', 'scale', 'demo', 'peers'))])")
     ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, env=dict(os.environ))
     assert ran.stdout == "[]\n", ran.stderr
 
@@ -304,7 +307,7 @@
         until(first.taken)
         first.turn("busy")
         until(second.taken)
-        monkeypatch.setattr("pumicepath.sidecar.watching.opened", none_left)
+        monkeypatch.setattr("pumicepath.sidecar.following.opened", none_left)
         first.turn("serving")
         until(lambda: watcher.homes and watcher.homes.home_span > 500_000)
         calls = len(second.asked)
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -27,6 +27,7 @@
 from pumicepath.logic import Balancer
 from pumicepath.settings import decode
 
+from .helpers import interruptible
 from .rig import until
 
 SMALL = ["lab", "scale", "--sidecars", "12", "--services", "3", "--regions", "2", "--zones", "2", "--json"]
@@ -268,7 +269,7 @@
 def test_all_that_a_run_started_ends_with_it(tmp_path: Path) -> None:
     run = subprocess.Popen([sys.executable, "-m", "pumicepath", *SMALL, "--for", "60",
                             "--report", str(tmp_path)], stdout=subprocess.PIPE,
-                           stderr=subprocess.PIPE, text=True)
+                           stderr=subprocess.PIPE, text=True, preexec_fn=interruptible)
     children = Path(f"/proc/{run.pid}/task/{run.pid}/children")
     until(lambda: list(tmp_path.glob("host-*.err")) and len(children.read_text().split()) >= 2)
     started = [int(pid) for pid in children.read_text().split()]
