--- a/pumicepath/lab/loopback/scripted.py
+++ b/pumicepath/lab/loopback/scripted.py
@@ -87,12 +87,15 @@
 
     def __init__(self, process: subprocess.Popen) -> None:
         self.process = process
+        self.seen: list[dict[str, Any]] = []    # all of them so far, whoever asked for which
         self.events: queue.SimpleQueue[dict[str, Any] | None] = queue.SimpleQueue()
-        threading.Thread(target=self.read, daemon=True).start()
+        self.reader = threading.Thread(target=self.read, daemon=True)
+        self.reader.start()
 
     def read(self) -> None:
         for line in self.process.stdout or ():
-            self.events.put(json.loads(line))
+            self.seen.append(json.loads(line))
+            self.events.put(self.seen[-1])
         self.events.put(None)
 
     def next(self, names: tuple[str, ...]) -> dict[str, Any]:
--- a/tests/test_scripted.py
+++ b/tests/test_scripted.py
@@ -31,6 +31,7 @@
     for _ in range(2):
         with pytest.raises(AssertionError, match="the log ended before reloaded"):
             log.next(("reloaded",))
+    assert [event["event"][:9] for event in log.seen] == ["started", "reloaded", "stopped", "x" * 9, "last"]
 
 
 def test_an_event_that_does_not_come_is_said(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_standing_fleet.py
+++ b/tests/test_standing_fleet.py
@@ -198,7 +198,6 @@
     around.told["limits"]["sockets"] = told
     around.config.write_text(json.dumps(around.told))
     around.lists.put(answer(200, json.dumps(around.listing(2, True, "active"))))
-    events: list[dict] = []
     begun = around.begun
 
     def limited() -> subprocess.Popen:
@@ -208,9 +207,7 @@
     around.begun = limited  # type: ignore[method-assign]
     with around.running():
         process = around.process
-        assert process.stdout is not None
-        log = threading.Thread(target=lambda: events.extend(map(json.loads, process.stdout)), daemon=True)
-        log.start()
+        log = around.logs[process]
         for _ in range(2):
             assert around.discovery.met.acquire(timeout=20)     # the second is the watch
         around.discovery.listener.shutdown(socket.SHUT_RDWR)
@@ -226,7 +223,7 @@
         while time.monotonic() < began + 1.0:
             answers.append(ask(around))
         spent = (core_time(process) - used) / (time.monotonic() - began)
-        assert "accept_failed" not in {event["event"] for event in events}, "no descriptor is left"
+        assert "accept_failed" not in {event["event"] for event in log.seen}, "no descriptor is left"
         # Discovery comes back, at the same place, and has a change.
         host, _, port = around.discovery.address.partition(":")
         around.discovery.listener = socket.create_server((host, int(port)))
@@ -244,13 +241,13 @@
         assert process.poll() is None
         process.terminate()
         assert process.wait(20) == 0
-        log.join(20)
-    seen = Counter(event["event"] for event in events)
+        log.reader.join(20)
+    seen = Counter(event["event"] for event in log.seen)
     print(f"{Counter(answers)}, watch back after {back:.2f} s, {spent:.2f} of a core, {seen}")
     assert set(answers) <= {0, 200, 503}
     assert spent < 0.8, "a busy loop"
     assert not {"fault", "accept_failed"} & seen.keys(), "what is kept back for the watch is there"
-    assert next(event for event in events if event["event"] == "stopped")["broken"] == {}
+    assert next(event for event in log.seen if event["event"] == "stopped")["broken"] == {}
 
 
 # -- 5: nine in ten restarted processes are ready within 10 s
