A relay reads a long list of an origin in parts and serves its followers between them

Lines at fault: `Upstream.answered` checked, encoded and took all lines in one call.

Changed: `decoded` is a generator of parts of 500 lines, which check and encode; the loop goes on with it in its next turns, and what is taken comes into force in one step behind the last line, as before. Meanwhile that origin is asked nothing, and what else comes from it is not read. `Held.take` gets lines already encoded.

Tests: between parts nothing of the list is in force and the loop is not held; a fault in the last part, or the end of the connection, keeps all as it was.

--- a/pumicepath/distribution/held.py
+++ b/pumicepath/distribution/held.py
@@ -1,7 +1,8 @@
 """What a relay holds of all regions, by version, and the answers that continue from versions it still knows.
 
     held = Held(version=unix_ms * 1000, regions=("eu", "us"), most_changes=10_000)
-    change = held.take("eu", 41, True, lines)       # lines as the origin sent them, already found to be lines
+    some = encoded("eu", lines)                     # as the origin sent them, already found to be lines
+    change = held.take("eu", 41, True, some)
     held.turned("eu", True)                         # whether the relay is in touch with that origin
     body, whole = held.answer(interest, since)      # bytes of JSON, encoded once for all that ask the same
 
@@ -14,7 +15,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
 import orjson
@@ -52,6 +53,11 @@
         return self._plain
 
 
+def encoded(region: str, lines: Iterable[dict[str, Any]]) -> dict[str, Line | None]:
+    """Lines of an origin by server, None for one that has left; most of what it takes to read a list."""
+    return {str(line["host"]): None if line["health"] == "left" else Line(region, line) for line in lines}
+
+
 class Region:
     """`seq` is the origin's, -1 before its first whole list."""
 
@@ -102,22 +108,20 @@
     def live(self) -> int:
         return sum(region.live for region in self.regions.values())
 
-    def take(self, name: str, seq: int, whole: bool, lines: Sequence[dict[str, Any]]) -> Change:
-        """What an origin has answered; who believes it has decided before (`origins.Origin`)."""
+    def take(self, name: str, seq: int, whole: bool, lines: Mapping[str, Line | None]) -> Change:
+        """What an origin has answered, `encoded`; who believes it has decided before (`origins.Origin`)."""
         region = self.regions[name]
         changed: dict[str, None] = {}
         if whole:
-            here = {str(line["host"]) for line in lines}
-            changed.update((host, None) for host in region.lines if host not in here)
+            changed.update((host, None) for host in region.lines if host not in lines)
             for host in changed:
                 del region.lines[host]
-        for line in lines:
-            host = str(line["host"])
-            if line["health"] == "left":
+        for host, new in lines.items():
+            if new is None:
                 if region.lines.pop(host, None) is not None:
                     changed[host] = None
                 continue
-            new, old = Line(name, line), region.lines.get(host)
+            old = region.lines.get(host)
             if old is None or old.text != new.text:
                 region.lines[host] = new
                 changed[host] = None
--- a/pumicepath/relay/loop.py
+++ b/pumicepath/relay/loop.py
@@ -14,10 +14,9 @@
 import socket
 import time
 from collections import Counter, deque
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Mapping
 
-from ..distribution.held import Held
+from ..distribution.held import Held, Line
 from ..distribution.origins import FAILURES, Origin
 from ..distribution.pace import Pace
 from ..distribution.subscriptions import Subscriptions
@@ -58,7 +57,7 @@
         self.operators: dict[int, Follower] = {}
         self.slowed: dict[int, Follower] = {}       # those with unsent bytes, the first to fall behind first
         self.unsent = 0
-        self.again: deque[Follower] = deque()
+        self.again: deque[Follower | Upstream] = deque()
         self.counts: Counter[str] = Counter()
         self.numbers = 0
         self.stop = False
@@ -286,7 +285,7 @@
 
     # Origins
 
-    def taken(self, upstream: Upstream, seq: int, whole: bool, lines: list[dict[str, Any]],
+    def taken(self, upstream: Upstream, seq: int, whole: bool, lines: Mapping[str, Line | None],
               before: int | None, now: int) -> None:
         """An origin has answered, and is believed; `before` is its version where that has begun anew."""
         name = upstream.region
--- a/pumicepath/relay/upstreams.py
+++ b/pumicepath/relay/upstreams.py
@@ -8,12 +8,14 @@
 import errno
 import selectors
 import socket
+from collections.abc import Generator, Iterator
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import orjson
 
 from ..discovery.roster import Address, BadList, Roster
+from ..distribution.held import Line, encoded
 from ..distribution.interests import NAME
 from ..distribution.origins import Origin, Refused
 from ..http1 import writing
@@ -30,6 +32,7 @@
 LONGEST_DIAL = 2_000_000
 WHOLE = 1_000_000           # from an answer's first byte to its last
 NEVER = 1 << 62
+PART = 500                  # lines that are read in one turn: some 10 ms
 
 
 class Upstream:
@@ -43,6 +46,7 @@
         self.dial = DIAL
         self.dialling = False
         self.begun = False          # an answer
+        self.reading: Iterator[None] | None = None      # the answer that has come and is not read to its end
         self.at = 0                 # when it is to be dialled, or taken for silent
         self.since = 0              # when the last good answer came
         self.lost = self.refused = False    # as the log was told
@@ -91,9 +95,12 @@
             raise OSError("a request that its socket does not take")
 
     def ready(self, mask: int, now: int) -> None:
-        if self.sock is None:
+        if self.sock is None or (mask and self.reading is not None):
             return
         try:
+            if not mask:
+                self.read_on()
+                return
             if self.dialling:
                 code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
                 if code:
@@ -112,12 +119,9 @@
                 self.parser.end()
             response = self.parser.next()
             if response is not None:
-                self.answered(response, now)
-                if not response.keeps() or not data:
-                    self.close()
-                    self.at = now
-                else:
-                    self.ask()
+                self.at = NEVER         # the next word is ours
+                self.reading = self.answered(response, response.keeps() and bool(data), now)
+                self.read_on()
             elif not data:
                 raise ConnectionResetError("ended")
         except BlockingIOError:
@@ -128,17 +132,33 @@
         except (OSError, Malformed) as trouble:
             self.failed(now, str(trouble))
 
-    def answered(self, response: Response, now: int) -> None:
+    def read_on(self) -> None:
+        """One more part of the answer; the rest in the next turns.
+
+        Guards followers, whose calls and changes wait meanwhile, against a list of many thousand lines.
+        """
+        if self.reading is not None:
+            for _ in self.reading:
+                self.relay.again.append(self)
+                return
+
+    def answered(self, response: Response, keeps: bool, now: int) -> Iterator[None]:
         """Raises BadList or Refused for what can't be meant; then nothing of it is kept."""
         if response.status != 200:
             raise ConnectionError(f"answered {response.status}")
-        data = decoded(response.body)
-        seq, whole, lines = int(data["seq"]), bool(data["whole"]), data["hosts"]
+        data, lines = yield from decoded(response.body, self.region)
+        seq, whole = int(data["seq"]), bool(data["whole"])
         anew = self.origin.believed(seq, whole, len(lines))
         before = self.origin.seq
         self.origin.answered(seq)
         self.since = now
-        self.relay.taken(self, seq, whole, lines, before if anew else None, now)
+        self.reading = None
+        self.relay.taken(self, seq, whole, lines, before if anew else None, clock())
+        if keeps:
+            self.ask()
+        else:
+            self.close()
+            self.at = now
 
     def failed(self, now: int, why: str, silent: bool = False, refused: bool = False) -> None:
         self.close()
@@ -147,6 +167,7 @@
 
     def close(self) -> None:
         sock, self.sock = self.sock, None
+        self.reading = None
         if sock is not None:
             with suppress(KeyError):  # its dial failed before it was there
                 self.relay.selector.unregister(sock)
@@ -154,8 +175,8 @@
         self.dialling = False
 
 
-def decoded(body: bytes) -> Any:
-    """An origin's answer, checked as each sidecar will check it.
+def decoded(body: bytes, region: str) -> Generator[None, None, tuple[dict[str, Any], dict[str, Line | None]]]:
+    """An origin's answer and its lines, checked as each sidecar will check them; in parts of `PART` lines.
 
     Guards followers against a line that they would refuse together with all others of the answer.
     """
@@ -163,11 +184,25 @@
         data = orjson.loads(body)
     except ValueError as trouble:
         raise BadList(str(trouble)) from trouble
-    Roster((), lambda born: 1).read(data)
+    roster = Roster((), lambda born: 1)
+    if not isinstance(data, dict) or not isinstance(data.get("hosts"), list):
+        roster.read(data)       # which says what is wrong, or finds nothing in it
+        data = {**data, "hosts": []}
+    told: list[Any] = data["hosts"]
+    roster.read({**data, "hosts": []})
     if not 0 <= int(data["seq"]) < MOST_SEQ:
         raise BadList(f"seq: {data['seq']!r}")
-    for line in data["hosts"]:
-        service = line.get("service", "")
-        if not isinstance(line["host"], str) or not isinstance(service, str) or not NAME.fullmatch(service):
-            raise BadList(f"{line['host']!r}: {service!r} is no service")
-    return data
+    lines: dict[str, Line | None] = {}
+    for start in range(0, len(told), PART):
+        part = told[start:start + PART]
+        roster.read({**data, "hosts": part, "whole": False})
+        for line in part:
+            host, service = line["host"], line.get("service", "")
+            if not isinstance(host, str) or not isinstance(service, str) or not NAME.fullmatch(service):
+                raise BadList(f"{host!r}: {service!r} is no service")
+        lines |= encoded(region, part)
+        if len(lines) < start + len(part):
+            raise BadList("ValueError: a server twice")
+        if start + PART < len(told):
+            yield
+    return data, lines
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -8,7 +8,7 @@
 import orjson
 import pytest
 
-from pumicepath.distribution.held import Held
+from pumicepath.distribution.held import Change, Held, encoded
 from pumicepath.distribution.interests import EVERY, PLAIN, Interest, interest_of
 from pumicepath.distribution.origins import ANSWER, LIVE, MOST_BACK, SLACK, Origin, Refused
 from pumicepath.distribution.pace import LONGEST, Pace
@@ -26,6 +26,10 @@
             for host, service in services.items()]
 
 
+def take(held: Held, name: str, seq: int, whole: bool, some: list[dict[str, Any]]) -> Change:
+    return held.take(name, seq, whole, encoded(name, some))
+
+
 class Mirror:
     """A follower that takes what it is told, and nothing else."""
 
@@ -77,7 +81,7 @@
         if kind < 0.25:
             there.clear()
             there.update(some)
-            change = self.held.take(name, self.seqs[name], True, list(some.values()))
+            change = take(self.held, name, self.seqs[name], True, list(some.values()))
         else:
             for host in list(some):
                 if self.draw.random() < 0.4:
@@ -85,7 +89,7 @@
                     there.pop(host, None)
                 else:
                     there[host] = some[host]
-            change = self.held.take(name, self.seqs[name], False, list(some.values()))
+            change = take(self.held, name, self.seqs[name], False, list(some.values()))
         for host in [host for host, region in self.shown.items() if host not in self.truth[region]]:
             del self.shown[host]
         for region in self.truth:
@@ -135,12 +139,12 @@
 
 def test_versions_of_another_life_older_than_the_log_or_ahead_get_the_whole_list() -> None:
     held = Held(5000, ("eu",), 3)
-    held.take("eu", 1, True, lines(a="cart", b="cart"))
+    take(held, "eu", 1, True, lines(a="cart", b="cart"))
     for since in (-1, 0, 4999, 5002, 1 << 60):
         assert held.answer(EVERY, since)[1], since
     assert not held.answer(EVERY, 5000)[1]
     for seq in range(2, 6):
-        held.take("eu", seq, False, [line("a", "cart", port=9000 + seq)])
+        take(held, "eu", seq, False, [line("a", "cart", port=9000 + seq)])
     assert held.version == 5005
     for since, whole in ((5000, True), (5001, True), (5002, False), (5005, False)):
         assert held.answer(EVERY, since)[1] is whole, since
@@ -148,15 +152,15 @@
 
 def test_a_list_larger_than_the_history_can_only_be_had_whole() -> None:
     held = Held(0, ("eu",), 3)
-    held.take("eu", 1, True, [line(f"h{at}", "cart") for at in range(9)])
+    take(held, "eu", 1, True, [line(f"h{at}", "cart") for at in range(9)])
     assert len(held.log) == 3 and held.answer(EVERY, 0)[1]
     assert not held.answer(EVERY, 1)[1]
 
 
 def test_the_same_list_again_is_no_change() -> None:
     held = Held(0, ("eu",), 100)
-    held.take("eu", 1, True, lines(a="cart", b=""))
-    change = held.take("eu", 9, True, lines(b="", a="cart"))
+    take(held, "eu", 1, True, lines(a="cart", b=""))
+    change = take(held, "eu", 9, True, lines(b="", a="cart"))
     assert change.servers == 0 and change.services == () and held.version == 1
     assert orjson.loads(held.nothing(EVERY))["regions"] == {"eu": {"seq": 9, "live": False}}
 
@@ -164,11 +168,11 @@
 def test_a_region_without_a_list_yet_is_not_named_and_one_that_restarts_keeps_the_other() -> None:
     held = Held(0, ("eu", "us"), 100)
     assert not held.known()
-    held.take("us", 7, True, lines(x="cart"))
+    take(held, "us", 7, True, lines(x="cart"))
     held.turned("us", True)
     assert held.known() and orjson.loads(held.nothing(EVERY))["regions"] == {"us": {"seq": 7, "live": True}}
-    held.take("eu", 41, True, lines(a="cart", b="cart"))
-    held.take("eu", 3, True, lines(b="cart"))
+    take(held, "eu", 41, True, lines(a="cart", b="cart"))
+    take(held, "eu", 3, True, lines(b="cart"))
     told = orjson.loads(held.answer(EVERY, -1)[0])
     assert {one["host"] for one in told["hosts"]} == {"b", "x"} and told["regions"]["eu"]["seq"] == 3
 
@@ -176,14 +180,14 @@
 def test_a_server_that_two_regions_name_is_told_once_and_is_the_others_once_it_is_gone() -> None:
     held = Held(0, ("eu", "us"), 100)
     mirror = Mirror(interest_of("cart"))
-    held.take("us", 1, True, lines(a="cart"))
-    held.take("eu", 1, True, lines(a="cart"))
+    take(held, "us", 1, True, lines(a="cart"))
+    take(held, "eu", 1, True, lines(a="cart"))
     mirror.ask(held)
     assert mirror.held["a"]["region"] == "us"
-    held.take("us", 2, False, lines(a="left"))
+    take(held, "us", 2, False, lines(a="left"))
     mirror.ask(held)
     assert mirror.held["a"]["region"] == "eu" and len(mirror.told["hosts"]) == 1
-    held.take("eu", 2, False, lines(a="left"))
+    take(held, "eu", 2, False, lines(a="left"))
     mirror.ask(held)
     assert mirror.held == {}
 
@@ -191,10 +195,10 @@
 def test_a_server_that_changes_its_service_has_left_the_one_and_come_to_the_other() -> None:
     held = Held(0, ("eu",), 100)
     mirrors = {name: Mirror(interest_of(name)) for name in ("cart", "stock", "pay")}
-    held.take("eu", 1, True, lines(a="cart"))
+    take(held, "eu", 1, True, lines(a="cart"))
     for mirror in mirrors.values():
         mirror.ask(held)
-    change = held.take("eu", 2, False, lines(a="stock"))
+    change = take(held, "eu", 2, False, lines(a="stock"))
     assert set(change.services) == {"cart", "stock"}
     for mirror in mirrors.values():
         mirror.ask(held)
@@ -204,10 +208,10 @@
 
 def test_the_same_question_is_encoded_once_until_something_changes() -> None:
     held = Held(0, ("eu",), 100)
-    held.take("eu", 1, True, lines(a="cart"))
+    take(held, "eu", 1, True, lines(a="cart"))
     first = held.answer(interest_of("cart,stock"), 0)[0]
     assert held.answer(interest_of("stock,cart"), 0)[0] is first
-    held.take("eu", 2, False, lines(b="pay"))
+    take(held, "eu", 2, False, lines(b="pay"))
     assert held.answer(interest_of("cart,stock"), 0)[0] is not first
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 import selectors
 import signal
 import socket
+import threading
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -18,13 +19,15 @@
 from click.testing import CliRunner
 
 from pumicepath.command import main
+from pumicepath.distribution.held import encoded
 from pumicepath.distribution.origins import ANSWER, LIVE
 from pumicepath.http1 import writing
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import next_of
 from pumicepath.relay import config, loop
+from pumicepath.relay.upstreams import PART
 
-from .relay_rig import Follower, Origin, Relay, line, until
+from .relay_rig import LONG_S, Follower, Origin, Relay, line, until
 from .rig import Quiet
 
 Make = Callable[..., Relay]
@@ -257,7 +260,7 @@
     upstream = relay.upstreams[0]
     upstream.origin.answered(41)
     upstream.since = 1_000
-    relay.taken(upstream, 41, True, [line("a", "cart")], None, 1_000)
+    relay.taken(upstream, 41, True, encoded("eu", [line("a", "cart")]), None, 1_000)
     upstream.failed(2_000_000, "reset")                     # dialled anew at once, and asked without a wait
     upstream.at = 2_000_000 + ANSWER
     upstream.woke(1_000 + LIVE)
@@ -271,6 +274,54 @@
         sock.close()
 
 
+def whole_list(hosts: list[dict[str, Any]], seq: int = 41) -> bytes:
+    return writing.response(200, [], json.dumps({"seq": seq, "whole": True, "hosts": hosts}).encode(), True)
+
+
+@pytest.mark.parametrize("spoilt", ["", "a server twice", "is no address", "the end"])
+def test_a_long_list_is_read_in_parts_between_which_others_are_served(spoilt: str) -> None:
+    told = config.config({**GOOD, "listen": "127.0.0.1:0", "sources": {"eu": "127.0.0.1:1"}})
+    relay = loop.Relay(told, Quiet(), 0, random.Random(1).random)  # type: ignore[arg-type]
+    upstream, (here, there) = relay.upstreams[0], socket.socketpair()
+    here.setblocking(False)
+    hosts = [line(f"h{at}", "cart") for at in range(3 * PART)]
+    if spoilt.endswith("twice"):
+        hosts[-1] = hosts[0]
+    elif spoilt.endswith("address"):
+        hosts[-1] = {**hosts[-1], "dial": "here"}
+    there.sendall(whole_list(hosts[:1], 40))
+    upstream.sock = here
+    relay.selector.register(here, selectors.EVENT_READ, upstream)
+    upstream.ready(selectors.EVENT_READ, 1_000)
+    assert relay.held.regions["eu"].seq == 40 and not relay.again, "a short one is read at once"
+    reader = threading.Thread(target=there.sendall, args=(whole_list(hosts),), daemon=True)
+    reader.start()
+    until(lambda: upstream.ready(selectors.EVENT_READ, 2_000) or relay.again)
+    reader.join(LONG_S)
+    there.recv(4096)                # what it asked before
+    turns = 0
+    while relay.again:
+        # Between two parts the loop goes on with all others, and nothing of the list is in force.
+        turns += 1
+        assert len(relay.held.regions["eu"].lines) == 1 and relay.held.regions["eu"].seq == 40
+        assert relay.next_at(3_000) == 0
+        if spoilt == "the end":
+            upstream.failed(3_000, "ended")
+        upstream.ready(selectors.EVENT_READ, 3_000)     # what else comes meanwhile is not read
+        assert relay.again.popleft() is upstream
+        upstream.ready(0, 3_000)
+    assert turns == (1 if spoilt == "the end" else 2)
+    if spoilt:
+        assert len(relay.held.regions["eu"].lines) == 1 and upstream.sock is None
+        assert relay.counts["lists_refused"] == (spoilt != "the end")
+    else:
+        assert len(relay.held.regions["eu"].lines) == 3 * PART and relay.held.regions["eu"].seq == 41
+        assert there.recv(4096).startswith(b"GET /discovery/hosts?since=41&")
+        upstream.close()
+    for sock in (relay.listener, relay.selector, there):
+        sock.close()
+
+
 def test_who_never_reads_or_never_asks_is_cut_off_and_the_others_are_served(relays: Make) -> None:
     origin = Origin([line(f"h{at:05}", "cart") for at in range(15_000)])
     relay = relays({"eu": origin}, wholeBytesPerS=10**10)
