What duties take of a voter's memory has a benchmark

Need: the capacity page leaves a voter's memory open. holding.voter_kb plays the same fleet for 60 s with and without its duties, each in a process of its own, and puts the whole difference down to the three voters, so that it is more than one of them has. The group 'voting' measures it alone.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -93,6 +93,7 @@
     "peer_kb": Known("memory of the membership of one sidecar", "kB", PEERS, PLAIN),
     "voter_messages": Known("messages a second from a voter, 200 duties", "a second", PEERS, NO),
     "voter_bytes": Known("bytes a second from a voter, 200 duties", "bytes a second", PEERS, NO),
+    "voter_kb": Known("memory of 200 duties in a fleet, a third for each voter", "kB", PEERS, PLAIN),
     "voter_cpu_us": Known("CPU of a voter's decisions, 200 duties", "us a second", PEERS, PLAIN),
     "followed_mb": Known("memory of a `serve` at rest that follows a relay", "MB", SERVERS),
     "followed_cpu_ms": Known("CPU of a `serve` at rest that follows a relay", "ms a second", SERVERS),
@@ -197,6 +198,10 @@
     return found
 
 
+def of_voting(seed: int) -> Found:
+    return {"voter_kb": {count: holding.voter_kb(count, 200, seed) for count in (10, 30, 100, 300)}}
+
+
 def of_relay() -> Found:
     found: Found = {}
     for count in (100, 500, 1000, 2000):
@@ -222,7 +227,7 @@
 GROUPS: dict[str, Callable[[int], Found]] = {
     "hearing": lambda repeat: of_hearing(), "deciding": lambda repeat: of_deciding(),
     "telling": lambda repeat: of_telling(), "rest": lambda repeat: of_rest(), "members": of_members,
-    "calls": of_calls, "duties": of_duties, "relay": lambda repeat: of_relay(),
+    "calls": of_calls, "duties": of_duties, "voting": of_voting, "relay": lambda repeat: of_relay(),
     "follow": lambda repeat: of_follow(), "hollow": of_hollow,
 }
 
--- a/benchmarks/holding.py
+++ b/benchmarks/holding.py
@@ -32,11 +32,8 @@
     node.came, node.woke = wrapped(node.came), wrapped(node.woke)            # type: ignore[method-assign]
 
 
-def held(count: int, duties: int, seed: int) -> dict[str, float]:
-    """Messages, bytes and us of CPU a second of the busiest voter, each duty wanted by one.
-
-    RuntimeError if any is free then.
-    """
+def wanting(count: int, duties: int, seed: int) -> Wanting:
+    """A fleet 60 s after its start, its duties wanted for the last 20 of them."""
     fleet = Wanting(count, LEASE_S, [], seed)
     by = Random(seed)
     mine: dict[int, list[str]] = {}
@@ -52,6 +49,15 @@
     fleet.want = want                                                        # type: ignore[method-assign]
     want()
     fleet.time.run(fleet.time.now + 20 * SECOND)
+    return fleet
+
+
+def held(count: int, duties: int, seed: int) -> dict[str, float]:
+    """Messages, bytes and us of CPU a second of the busiest voter, each duty wanted by one.
+
+    RuntimeError if any is free then.
+    """
+    fleet = wanting(count, duties, seed)
     fleet.links.sent.clear()
     fleet.links.bytes.clear()
     spent = dict.fromkeys(range(VOTERS), 0.0)
@@ -81,12 +87,28 @@
     pipe.send((resident_kb() - before) / count)
 
 
-def member_kb(count: int) -> float:
-    """Memory of each sidecar's membership once all know each other, in a process of its own."""
+def want(pipe: Connection, count: int, duties: int, seed: int) -> None:
+    fleet = wanting(count, duties, seed)
+    pipe.send(resident_kb())
+    del fleet
+
+
+def apart(run: Callable[..., None], *given: Any) -> float:
+    """What it sends, from a process of its own."""
     context = multiprocessing.get_context("spawn")
     pipe, theirs = context.Pipe()
-    process = context.Process(target=grow, args=(theirs, count))
+    process = context.Process(target=run, args=(theirs, *given))
     process.start()
     found: float = pipe.recv()
     process.join()
     return found
+
+
+def member_kb(count: int) -> float:
+    """Memory of each sidecar's membership once all know each other."""
+    return apart(grow, count)
+
+
+def voter_kb(count: int, duties: int, seed: int) -> float:
+    """Memory that duties take in a fleet, all of it put down to its voters: more than one of them has."""
+    return (apart(want, count, duties, seed) - apart(want, count, 0, seed)) / VOTERS
