What reads a relay's answers is loaded with the file, not at the first answer

Seen on reading once more: the import stood in Watch.update. With no descriptor left just then it would fail, and be taken for a failed call until there is one again.

--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -56,6 +56,7 @@
         self.clock = clock
         self.services: str | None = None
         self.merging: Regions | None = None
+        self.merged: Callable[[Watch, Regions, dict[str, Any]], Update]
         self.empty = 0              # whole lists in a row that would leave nothing
         self.doubted = True         # whether the next call is not to wait
         self.back = 0
@@ -74,8 +75,10 @@
         if services is None:
             self.merging = None
         elif self.merging is None:
+            # Here, not at the first answer: guards that against a module that can't be opened any more.
             from ..distribution.regions import Regions
-            self.merging = Regions()
+            from .relayed import merged
+            self.merging, self.merged = Regions(), merged
 
     @property
     def regions(self) -> Told:
@@ -162,8 +165,7 @@
         except ValueError as trouble:
             raise BadList(str(trouble)) from trouble
         if self.merging is not None and isinstance(data, dict) and "regions" in data:
-            from .relayed import merged
-            return merged(self, self.merging, data)
+            return self.merged(self, self.merging, data)
         update = self.roster.read(data, self.believed)
         self.version = update.version
         self.doubted = False
