--- a/pumicepath/lab/capacity/roles.py
+++ b/pumicepath/lab/capacity/roles.py
@@ -169,6 +169,8 @@
             target.bytes_s, "200 duties, leases of 10 s", ("voter_bytes",), voter),
         Row("", "CPU of a voter, a zone", capacity.at("voter_cpu_us", target.zone).over(1e4), "% of a core",
             target.core * 100, "200 duties, leases of 10 s, decisions alone", ("voter_cpu_us",), voter),
+        Row("", "memory of a voter for duties, a zone", capacity.at("voter_kb", target.zone).over(1000), "MB",
+            target.mb, "200 duties; all that they take in a fleet, a third of it", ("voter_kb",), voter),
     ]
 
 
