Review case 2: bad clients that stop in the middle of long requests leave no client an answer

Cause, as far as known: a body over 64 KiB may be silent for a second for each 48 kB that have come, its connection is BUSY all this time, and no limit or eviction holds for that state; at the bound nobody is accepted.

Change: review/2 with its claim and script.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,10 +1,9 @@
-"""A server hangs while long bodies are sent to it: their clients are owed a final answer all the same."""
+"""Bad clients stop in the middle of long requests and stay; the usual clients are owed their answers all the same."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import socket
 import sys
 from pathlib import Path
 
@@ -12,50 +11,33 @@
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 import rig  # noqa: E402
 
-SERVERS = 5  # one of them hangs
-RATE = 20.0  # short requests a second to each sidecar beside the long ones
-# Of the long bodies, two for each sidecar.  What the kernel's buffers between the sidecar and a hung server take differs
-# from machine to machine: smaller bodies fit into them, and of much larger ones the client can't write the last byte.
-SIZES_MB = ((3, 7), (4, 8), (2, 5), (1, 6))
-EXPIRES_MS = 2000
+SERVERS = 4
+DESCRIPTORS, MEMORY_MB = 256, 96
+RATE = 15.0  # requests a second of the usual clients, who so hold under 40 connections
+EXPIRES_MS = 1500
 LATE_S = 0.5 + 0.05  # after its time, an answer that comes by then only earns nothing
-HANG_AT_S, END_AT_S = 4.0, 16.0
+BAD_CLIENTS = 200
+BAD_LENGTH, BAD_SENT = 4_000_000, 1_000_000  # announced, and sent at full speed before the stop
+BAD_AT_S, END_AT_S = 4.0, 16.0
 
 
-async def upload(record: rig.Record, port: int, trace_id: str, key: str, size: int) -> tuple[float, float, int]:
-    """Send a request with a long body; returns when its last byte was written, when the answer came, its status."""
-    loop = asyncio.get_running_loop()
-    sock = socket.socket()
-    sock.setblocking(False)
-    await loop.sock_connect(sock, ("127.0.0.1", port))
-    written = answered = 0.0
-    status = 0
-
-    async def write() -> None:
-        nonlocal written
-        await loop.sock_sendall(sock, rig.request(trace_id, "stock-read", key, EXPIRES_MS, size))
-        record.note("client", f"{trace_id} sends {size} bytes of body, key {key}")
-        await loop.sock_sendall(sock, bytes(size))
-        written = record.now()
-        record.note("client", f"{trace_id} has written its last byte")
-
-    writing = asyncio.create_task(write())
+async def bad_client(record: rig.Record, port: int, number: int) -> float:
+    """Sends a quarter of a long request and stays; returns after how long it got an error or a close."""
+    started = record.now()
     try:
-        data = b""
-        while b"\r\n\r\n" not in data:
-            # The client stays until long after its time, to see when the answer comes, if it comes.
-            piece = await asyncio.wait_for(loop.sock_recv(sock, 65536), END_AT_S - HANG_AT_S)
-            if not piece:
-                break
-            data += piece
-        answered = record.now()
-        status = int(data.split(b" ")[1]) if data else 0
-        record.note("client", f"{trace_id} is answered {status or 'by an end of the connection'}")
-    except (OSError, TimeoutError, asyncio.TimeoutError) as error:
-        record.note("client", f"{trace_id} has no answer: {type(error).__name__}")
-    writing.cancel()
-    sock.close()
-    return written, answered, status
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(rig.request(f"bad{number}", "stock-read", f"lot-bad{number}", EXPIRES_MS, BAD_LENGTH))
+        writer.write(bytes(BAD_SENT))
+        await reader.read(65536)  # an answer, or nothing at a close
+    except OSError:
+        pass
+    first = record.now() - started
+    record.note("bad client", f"bad{number} got an error or a close after {first:.3f} s")
+    try:
+        await reader.read()  # it stays until the sidecar ends the connection
+    except (OSError, UnboundLocalError):
+        pass
+    return first
 
 
 async def case(record: rig.Record, temporary: Path) -> int:
@@ -65,58 +47,53 @@
     for server in servers:
         await server.start()
         discovery.add(server.name, f"127.0.0.1:{server.port}")
-    sidecars = [rig.Sidecar(record, temporary, discovery, f"n{number}") for number in range(len(SIZES_MB))]
-    for number, sidecar in enumerate(sidecars):
-        sidecar.config["settings"]["me"] = number
-    lost = False
+    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS}
+    sidecar = rig.Sidecar(record, temporary, discovery, limits=limits)
     try:
-        await asyncio.gather(*(sidecar.start() for sidecar in sidecars))
-        started, servers_by_key = record.now(), {}
-
-        async def traffic(sidecar: rig.Sidecar) -> None:
-            clients, rng, asked = rig.ClientPool(record, sidecar.port), random.Random(sidecar.name), []
-
-            async def ask(trace_id: str, key: str) -> None:
-                status, body = await clients.ask(trace_id, "stock-read", key, 2500)
-                record.note(f"of {sidecar.name}", f"{trace_id} short, key {key}: {status} {body.decode().strip()!r}")
-                if status == 200:
-                    servers_by_key[key] = body.decode().split(" ")[-1]
-
-            while record.now() - started < END_AT_S:
-                number = len(asked)
-                asked.append(asyncio.create_task(ask(f"{sidecar.name}t{number:04d}", f"lot-{number}")))
-                await asyncio.sleep(rng.expovariate(RATE))
-
-        others = [asyncio.create_task(traffic(sidecar)) for sidecar in sidecars]
-        await asyncio.sleep(HANG_AT_S)
-        # Keys whose short requests the first server answered: long ones with these keys go there as well.
-        keys = [key for key, server in servers_by_key.items() if server == "s-0"]
-        if len(keys) < 2:
-            raise rig.CannotRunError(f"only {len(keys)} keys at s-0")
-        if rig.TROUBLE:
-            servers[0].hung = True
-            record.note("case", "s-0 hangs from here on")
-        uploads = [
-            (sidecar.name, size, upload(record, sidecar.port, f"{sidecar.name}long{size}", key, size << 20))
-            for sidecar, sizes in zip(sidecars, SIZES_MB)
-            for size, key in zip(sizes, keys)
-        ]
-        results = await asyncio.gather(*(each for _, _, each in uploads))
-        for (name, size, _), (written, answered, status) in zip(uploads, results):
-            late = (answered or record.now()) - written - EXPIRES_MS / 1000
-            what = f"answered {status} at {answered:.3f}" if status else "not answered"
-            text = f"{name}, body of {size} MB: last byte written at {written:.3f}, {what}"
-            if written and late > LATE_S:
-                lost = True
-                text += f", {late:.3f} s after its time: lost"
-            record.note("verdict", text)
-        if not any("long" in trace_id for trace_id in servers[0].heads):
-            raise rig.CannotRunError("no long request went to s-0")
-        for each in others:
-            each.cancel()
+        await sidecar.start()
+        clients, rng, started = rig.ClientPool(record, sidecar.port), random.Random(4), record.now()
+        lost, asked, bad = [], [], []
+        seconds: dict[int, list[int]] = {}  # by second: requests, answered 200, refused or failed, lost
+
+        async def ask(trace_id: str) -> None:
+            sent = record.now()
+            class_name = "reserve" if rng.random() < 0.47 else "stock-read"
+            status, _ = await clients.ask(trace_id, class_name, f"lot-{rng.randrange(2000)}", EXPIRES_MS)
+            took = record.now() - sent
+            is_lost = not status or took > EXPIRES_MS / 1000 + LATE_S
+            figures = seconds.setdefault(int(sent - started), [0, 0, 0, 0])
+            figures[0] += 1
+            figures[3 if is_lost else 1 if status == 200 else 2] += 1
+            what = f"answered {status}" if status else "not answered"
+            record.note("client", f"{trace_id} {class_name}: {what}, {took:.3f} s{', lost' if is_lost else ''}")
+            if is_lost:
+                lost.append(trace_id)
+
+        while record.now() - started < END_AT_S:
+            asked.append(asyncio.create_task(ask(f"t{len(asked):04d}")))
+            await asyncio.sleep(rng.expovariate(RATE))
+            if rig.TROUBLE and not bad and record.now() - started >= BAD_AT_S:
+                record.note("case", f"{BAD_CLIENTS} bad clients begin")
+                bad = [asyncio.create_task(bad_client(record, sidecar.port, at)) for at in range(BAD_CLIENTS)]
+        await asyncio.gather(*asked)
+        if sidecar.process.poll() is not None:
+            raise rig.CannotRunError("the sidecar has ended")
+        if sum(figures[1] for at, figures in seconds.items() if at < BAD_AT_S - 1) < RATE:
+            raise rig.CannotRunError("the usual clients were not served before")
+        for at, figures in sorted(seconds.items()):
+            record.note("second", f"{at}: {figures[0]} asked, {figures[1]} served, {figures[2]} refused, {figures[3]} lost")
+        ended = sum("got an error or a close" in line for line in record.lines)
+        after = [figures for at, figures in seconds.items() if at >= BAD_AT_S]
+        record.note(
+            "verdict",
+            f"{len(asked)} requests of the usual clients, {len(lost)} lost; from second {BAD_AT_S:.0f} on "
+            f"{sum(each[0] for each in after)} asked, {sum(each[1] for each in after)} served, "
+            f"{sum(each[2] for each in after)} refused or failed, {sum(each[3] for each in after)} lost",
+        )
+        if bad:
+            record.note("verdict", f"{BAD_CLIENTS - ended} of {BAD_CLIENTS} bad clients got neither an error nor a close")
     finally:
-        for sidecar in sidecars:
-            sidecar.end()
+        sidecar.end()
     return rig.BROKEN if lost else rig.HELD
 
 
