Long bodies: a request's time begins with its last byte, whether or not the sidecar has read it

Cause: the deadline was set when the sidecar read the last byte. Behind a server that takes nothing the sidecar stops reading, and no timer was set. A body read late behind a slow server had its whole time again.

Change: BodyArrival bounds the time of the last byte from what was read, what waits in the socket, and what a client's send buffer can hold. UploadDeadline ends the submission when its time is over by that bound: never ran, so 503, whatever its effect. At SIGTERM the end of the process bounds it.

--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -24,7 +24,7 @@
 from .admission_gate import AdmissionGate
 from .config import Config
 from .delay_monitor import DelayMonitor
-from .exchange import Exchange, Hop
+from .exchange import Exchange, Hop, UploadDeadline
 from .log import Log
 from .servers import Pool, ServerConnection
 
@@ -64,6 +64,9 @@
         self.handler.on_timer(now)
 
 
+ENDING_HANDLERS = (Submission, Exchange, PostponedTimer, UploadDeadline)
+
+
 class Dispatcher:
     """Owns the balancer, the open exchanges and the timers, and is the balancer's host.
 
@@ -186,7 +189,7 @@
         """Drop timers of finished submissions at the head of the queue, which would only wake the thread."""
         while self.timers:
             handler = self.timers[0][2]
-            if not isinstance(handler, (Submission, Exchange, PostponedTimer)) or not handler.is_finished():
+            if not isinstance(handler, ENDING_HANDLERS) or not handler.is_finished():
                 return
             heappop(self.timers)
 
@@ -234,7 +237,9 @@
                 exchange.deadline_at,
                 exchange.upload is not None,
             )
-            if not exchange.answered and exchange.upload is None:
+            if exchange.upload is not None:
+                self.set_timer(now + exchange.deadline, UploadDeadline(exchange, exchange.upload))
+            elif not exchange.answered:
                 self.set_timer(exchange.deadline_at, exchange)
             self.remove_if_finished(exchange)
 
@@ -267,13 +272,19 @@
         connection.close()
 
     def upload_received(self, hop: Hop) -> None:
-        """Start the deadline of a submission whose body was streamed, now that its last byte has arrived."""
-        exchange = hop.exchange
+        """Start the deadline of a submission whose body was streamed, now that its last byte has been read.
+
+        That may be long after it was written, if the server was slow to take what came before it.
+        """
+        exchange, upload = hop.exchange, hop.exchange.upload
 
         def call(now: int) -> None:
-            if exchange.answered or exchange.submission is None:
+            if exchange.answered or exchange.submission is None or upload is None:
+                return
+            exchange.deadline_at = min(upload.last_byte_at + exchange.deadline, self.shutdown_at)
+            if exchange.deadline_at <= now:
+                exchange.end_upload(now)
                 return
-            exchange.deadline_at = min(now + exchange.deadline, self.shutdown_at)
             exchange.submission.body_complete(now, hop.number, exchange.deadline_at)
             self.set_timer(exchange.deadline_at, exchange)
 
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -57,6 +57,13 @@
     length: int
     started: bool
 
+    @property
+    def last_byte_at(self) -> int:
+        """When the bytes read last were written, or a lower bound."""
+
+    def unfinished_since(self, now: int) -> int:
+        """Return the latest time at which the client can't have written its last byte yet."""
+
     def pieces(self) -> Iterator[tuple[bytes, bool]]:
         """Yield pieces of the body as they arrive, and whether each is the last.
 
@@ -78,6 +85,8 @@
 class ExchangeOwner(Protocol):
     """The dispatcher, as seen by exchanges, hops and connections."""
 
+    shutdown_at: int
+
     def response_started(self, hop: Hop) -> None:
         """Note that part of a hop's response has arrived."""
 
@@ -180,6 +189,19 @@
                 return False
         return now - self.received_at <= CLIENT_CHECK_AFTER_US or not self.client.has_left()
 
+    def end_upload(self, now: int) -> None:
+        """End all hops at the deadline, before the body's last byte was sent; called with the lock held.
+
+        No server has had the last byte, so none has run it, and the client may try again.
+        """
+        self.deadline_at = now
+        if self.submission is not None:
+            self.submission.deadline_at = now
+        for hop in list(self.hops):
+            self.owner.end_hop(now, hop, Outcome.CONNECT_FAILED)
+        if not check_invariant(self.answered, "no final answer when patience ended"):
+            self.owner.answer(self, answers.FAILED)
+
     def on_timer(self, now: int) -> None:
         """End all hops at the deadline: this answers for servers that have not responded."""
         for hop in list(self.hops):
@@ -188,6 +210,35 @@
             self.owner.answer(self, answers.FAILED)
 
 
+class UploadDeadline:
+    """Ends a submission whose time is over before its body has been read to the end.
+
+    A request's time counts from its last byte, which may wait in a buffer while the server takes nothing.
+    """
+
+    __slots__ = ("exchange", "upload")
+
+    def __init__(self, exchange: Exchange, upload: Upload) -> None:
+        self.exchange = exchange
+        self.upload = upload
+
+    def is_finished(self) -> bool:
+        """Whether the timer can be dropped: the body was read, or its submission has ended."""
+        submission = self.exchange.submission
+        return self.exchange.answered or submission is not None and not submission.uploading
+
+    def on_timer(self, now: int) -> None:
+        """End the submission if its time is over, else wait for the earliest moment at which it can be."""
+        if self.is_finished():
+            return
+        exchange, owner = self.exchange, self.exchange.owner
+        due_at = min(self.upload.unfinished_since(now) + exchange.deadline, owner.shutdown_at)
+        if due_at > now:
+            owner.set_timer(due_at, self)
+        else:
+            exchange.end_upload(now)
+
+
 class Hop:
     """One attempt at a server; `ends_at` is its time-out or the deadline, whichever comes first."""
 
--- a/pumicepath/sidecar/upload.py
+++ b/pumicepath/sidecar/upload.py
@@ -10,9 +10,11 @@
 from collections.abc import Iterator
 from typing import Protocol
 
+from ..http1 import writing
 from ..http1.messages import MalformedMessageError
 from ..http1.parsing import RequestParser
 from . import arrival, clock
+from .body_arrival import BodyArrival, unread_bytes
 from .exchange import UploadError
 from .sending_rate import SendingRate
 
@@ -51,6 +53,12 @@
         self.started = False
         self.complete = False
         self.error: UploadError | None = None
+        self.arrival = BodyArrival(client.sock, clock.now())
+
+    @property
+    def last_byte_at(self) -> int:
+        """When the bytes read last were written, or a lower bound."""
+        return self.arrival.last_byte_at
 
     def pieces(self) -> Iterator[tuple[bytes, bool]]:
         """Yield pieces of the body as they arrive, and whether each is the last.
@@ -96,6 +104,7 @@
         try:
             count, received_at = arrival.receive(self.client.sock, space, rate.waiting_since)
         except BlockingIOError:
+            self.arrival.note_unfinished(clock.now())
             count = 0
         else:
             self.commit(count, received_at)
@@ -103,6 +112,7 @@
             raise too_slow()
         if count:
             rate.pause()
+            self.note_progress(count < len(space))
 
     def commit(self, count: int, received_at: int) -> None:
         """Take up a read; one of nothing is the end of the connection, or follows our own shutdown."""
@@ -111,9 +121,31 @@
             raise too_slow()
         if not count and not self.client.is_read_shutdown():
             raise ConnectionResetError("body broken off")
+        self.arrival.add_read(rate.waiting_since, received_at, count)
         rate.received(received_at, count)
         self.parser.ring.commit(count)
 
+    def note_progress(self, read_all: bool) -> None:
+        """Note whether the body can be complete; `read_all`: the read took everything that had arrived."""
+        now = clock.now()
+        if read_all:
+            self.arrival.note_unfinished(now)
+        else:
+            self.arrival.examine_buffers(now, self.bytes_left())
+
+    def bytes_left(self) -> int | None:
+        """How many bytes of the body have not been read, or None if its length is unknown."""
+        if self.length == writing.CHUNKED:
+            return None
+        return self.parser.remaining - len(self.parser.ring)
+
+    def unfinished_since(self, now: int) -> int:
+        """Return the latest time at which the client can't have written its last byte yet; for any thread."""
+        if self.client.sending_rate.waiting_since and not unread_bytes(self.client.sock):
+            return now  # its thread waits, and nothing has come
+        self.arrival.examine_buffers(now, self.bytes_left())
+        return self.arrival.unfinished_at
+
     def discard(self) -> None:
         """Read and drop the rest: a close before its end would reset the connection and lose the answer."""
         for _ in self.pieces():
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -235,7 +235,7 @@
     Sender.far.sendall(b"x" * 4_800)
     Sender.sending_rate.waited = MAX_WAITING_US + 90_000  # these bytes are worth 100,000 us
     body.read_more()
-    assert len(parser.ring) == 4_800 and Sender.sending_rate.waited < MAX_WAITING_US
+    assert body.arrival.bytes_read == 4_800 and Sender.sending_rate.waited < MAX_WAITING_US
     Sender.far.sendall(b"x")
     Sender.sending_rate.waited = MAX_WAITING_US + 1_000
     with pytest.raises(UploadError) as raised:
