Resting connections make way at once, whatever else is closing

Cause: connections on their way out were taken off what every eviction may close. Meant for stalled clients only, it spared resting ones too, which end at once; at the limit nobody was accepted meanwhile.

Change: they reduce the number of stalled clients that are ended, nothing else. The new test fails before.

--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -215,12 +215,14 @@
                 overdue.append((state not in UNUSED_STATES, since, len(overdue), state, client))
             elif state == CLOSING or client.evicted:
                 ending += 1
-        excess = len(self.open) - self.connection_limit - ending
-        for *_, state, client in sorted(overdue)[: max(0, excess + EXTRA_EVICTIONS)]:
-            if state == BUSY:
-                client.evict_stalled(now)
-            else:
+        needed = max(0, len(self.open) - self.connection_limit) + EXTRA_EVICTIONS
+        needed_of_stalled = needed - ending
+        for *_, state, client in sorted(overdue)[:needed]:
+            if state not in (BUSY, PARTIAL):
                 client.expire(state)
+            elif needed_of_stalled > 0:
+                needed_of_stalled -= 1
+                client.evict_stalled(now) if state == BUSY else client.expire(state)
 
     def evict_stalled_uploads(self) -> None:
         """End uploads that have stalled, while they hold connections to servers which others wait for."""
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -10,7 +10,7 @@
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import Deployment, read_message
 from pumicepath.sidecar import clock, config
-from pumicepath.sidecar.client import BUSY, CLOSING, DISCARDING, PARTIAL, Client
+from pumicepath.sidecar.client import BUSY, CLOSING, DISCARDING, DRAINING, IDLE, PARTIAL, Client
 from pumicepath.sidecar.clients import Clients
 from pumicepath.sidecar.sending_rate import MIN_BYTES_PER_US, SendingRate
 from pumicepath.sidecar.servers import start_thread
@@ -146,6 +146,14 @@
     assert ended == [False] * 22 + [True] * 18  # ten above the limit and eight more, the longest silent ones
 
 
+def test_resting_connections_make_way_at_once_whatever_else_is_ending(tmp_path: Path) -> None:
+    """They were spared for connections that were closing already, and new clients waited to be accepted."""
+    clients = clients_in_one_state(tmp_path, [(CLOSING, 10_000, 0)] * 20 + [(IDLE, 200_000, 0)] * 20)
+    clients.connection_limit = 30
+    clients.evict_idle()
+    assert [client.state for client in clients.open] == [CLOSING] * 20 + [DRAINING] * 18 + [IDLE] * 2
+
+
 def test_stalled_uploads_give_up_connections_to_servers_that_others_wait_for(tmp_path: Path) -> None:
     clients = clients_in_one_state(
         tmp_path, [(BUSY, 900_000, 0), (BUSY, 100_000, 0), (BUSY, 900_000, 500_000)]
