A whole list without any server is in force: nothing more is sent to servers that have left

Seen by the operators: new work sent to servers 4 to 5 s after discovery had told that all were gone; the only sign in the log is "BadList: an empty list".

Cause: Watch.check_update refused a whole list without servers, again and again, and the list before stayed in force. Related: relays refused it of their origins (Origin.validate) and sidecars of relays until the third in a row.

Why this works: the list takes the same way as any other whole list; where only draining binds, the balancer keeps dropped servers as before (test_dropped).

--- a/pumicepath/discovery/relayed.py
+++ b/pumicepath/discovery/relayed.py
@@ -7,7 +7,6 @@
 
 from ..distribution.regions import RegionTracker, parse_regions
 from .server_list import BadList, ServerListUpdate
-from .watch import REQUIRED_CONFIRMATIONS
 
 if TYPE_CHECKING:
     from .watch import Watch
@@ -33,14 +32,6 @@
         raise BadList(f"changes up to {version} after {watch.version}")
     if not judged.accepted:
         lines = []
-    elif whole and held and not lines:
-        # One empty list must not take all servers out of use. After several in a row it is accepted, since
-        # a service may really have no server left.
-        watch.empty_lists += 1
-        if watch.empty_lists < REQUIRED_CONFIRMATIONS:
-            raise BadList("an empty list")
-    if lines:
-        watch.empty_lists = 0
     replaces = whole and bool(judged.accepted) and not held
     if whole and judged.accepted and held:
         lines = list_differences(held, lines)
--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -68,7 +68,6 @@
         self.services: str | None = None
         self.region_versions: RegionTracker | None = None
         self.merge_relay_answer: Callable[[Watch, RegionTracker, dict[str, Any]], ServerListUpdate]
-        self.empty_lists = 0  # whole lists in a row that would leave no server
         self.ask_immediately = True  # whether the next request asks for an answer without a wait
         self.older_answers = 0  # in a row
         self.wait_ms = 0  # of the pending request
@@ -206,12 +205,10 @@
     def check_update(self, update: ServerListUpdate) -> None:
         """Raise BadList for an update that would undo the list in force.
 
-        An older list has servers ready that drain by now, and an empty one would take out all of them. A
-        whole list with an older version is accepted after several in a row, since discovery may have lost
-        its versions.
+        An older list has servers ready that drain by now. A whole list with an older version is accepted
+        after several in a row, since discovery may have lost its versions. One without any server is valid:
+        what a whole list doesn't name is gone, and nothing may be sent there.
         """
-        if update.whole and not update.entries:
-            raise BadList("an empty list")
         if update.version >= self.version:
             self.older_answers = 0
             return
--- a/pumicepath/distribution/origins.py
+++ b/pumicepath/distribution/origins.py
@@ -2,7 +2,7 @@
 
     origin = Origin("eu", uniform)
     target = origin.request_target()    # an answer is due within origin.silence_limit() microseconds
-    origin.validate(seq, whole, servers); origin.answer_accepted(seq)
+    origin.validate(seq, whole); origin.answer_accepted(seq)
     wait = origin.call_failed(silent=True)      # microseconds until the next dial
 
 This is for a relay what `discovery/watch.py` is for one sidecar. The first call after a failure asks for an
@@ -58,15 +58,13 @@
         """Microseconds that the present call may take without any bytes."""
         return self.wait_ms * 1000 + SLACK_US if self.wait_ms > NO_WAIT_MS else ANSWER_TIMEOUT_US
 
-    def validate(self, seq: int, whole: bool, servers: int) -> bool:
+    def validate(self, seq: int, whole: bool) -> bool:
         """Check an answer against the stored list; return whether the origin restarted its versions.
 
-        Raises ListRejectedError for an older list, in which draining servers are still ready, and for an
-        empty one. A list that has halved at once is accepted: servers that left count as removed whether or
-        not it is believed, the loss of a zone takes as much, and the sidecars' own check knows no more.
+        Raises ListRejectedError for an older list, in which draining servers are still ready. A list that has
+        halved at once, or is empty, is accepted: servers that left count as removed whether or not it is
+        believed, the loss of a zone takes as much, and the sidecars' own check knows no more.
         """
-        if whole and not servers:
-            raise ListRejectedError("an empty list")
         if not whole and (self.seq < 0 or self.fetch_whole):
             raise ListRejectedError("changes in place of the whole list")
         if seq >= self.seq:
--- a/pumicepath/relay/upstreams.py
+++ b/pumicepath/relay/upstreams.py
@@ -157,7 +157,7 @@
             raise ConnectionError(f"answered {response.status}")
         data, lines = yield from decode_answer(response.body, self.region)
         seq, whole = int(data["seq"]), bool(data["whole"])
-        restarted = self.origin.validate(seq, whole, len(lines))
+        restarted = self.origin.validate(seq, whole)
         previous_seq = self.origin.seq
         self.origin.answer_accepted(seq)
         self.answered_at = now
