--- a/tests/test_all_gone.py
+++ b/tests/test_all_gone.py
@@ -5,6 +5,8 @@
 import socket
 from pathlib import Path
 
+import pytest
+
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import Deployment, http_response
 
@@ -37,6 +39,22 @@
         assert served is not None and served.status == 200
 
 
+@pytest.mark.parametrize("whole", [True, False])
+def test_servers_that_leave_by_a_change_or_beside_one_that_stays_get_nothing(
+    whole: bool, tmp_path: Path
+) -> None:
+    deployment = Deployment(tmp_path, 2)
+    document = deployment.list_document(2, whole, "active" if whole else "left")
+    hosts = document["hosts"][:1] if whole else document["hosts"]
+    deployment.discovery_script.put(http_response(200, json.dumps({**document, "hosts": hosts})))
+    with deployment.running():
+        wait_for_calls(deployment, 2)
+        for _ in range(10):
+            deployment.submit("read", *([http_response(200, "served")] if whole else []))
+    servers = {line.split(":")[0] for line in deployment.transcript if line.startswith("s-")}
+    assert servers == ({"s-0"} if whole else set())
+
+
 def test_requests_on_their_way_to_servers_that_have_left_are_answered(tmp_path: Path) -> None:
     """Beside the rule: what was sent before the list came is finished, and its answer is passed on."""
     deployment = Deployment(tmp_path, 1)
