KNOWN-RED.txt has entries of test, command, seed, what was seen and issue

Need: the operators' form of known failures; the file took one line for each, without command and seed.

Change: an entry is five lines, each key once and in this order, a blank line between two. As strict as before: a listed test that passes, a name that is no test, a test twice or a fourth entry fails the run, and now a missing or empty key, an issue without a number, two entries that run together and the former form as well, by file, line and key.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -9,7 +9,25 @@
 
 import pytest
 
-ONE_ENTRY = "tests/test_one.py::test_red: the clock steps (issue 7)"
+
+def entry(test: str, seen: str = "the clock steps", **changed: str) -> str:
+    """An entry for a test of the module below; `changed` replaces the values of keys."""
+    values = {
+        "test": f"tests/test_one.py::{test}",
+        "command": f"python -m pytest tests/test_one.py -k {test}",
+        "seed": "none",
+        "seen": seen,
+        "issue": "7",
+        **changed,
+    }
+    return "\n".join(f"{key}: {value}" for key, value in values.items())
+
+
+ONE_ENTRY = entry("test_red")
+PRINTED = (
+    "known red: tests/test_one.py::test_red: the clock steps"
+    " (seed none, issue 7; python -m pytest tests/test_one.py -k test_red)"
+)
 TEST_MODULE = """
 import pytest
 def test_red(): assert False, "as known"
@@ -20,35 +38,42 @@
 @pytest.mark.parametrize("how", ["a b"])
 def test_each(how): assert how != "a b"
 """
-ALL_ENTRIES = "\n".join(
-    [
-        ONE_ENTRY,
-        "tests/test_one.py::test_broken: no disk (issue 7)",
-        "tests/test_one.py::test_each[a b]: a space (issue 8)",
-    ]
-)
+ALL_ENTRIES = "\n\n".join([ONE_ENTRY, entry("test_broken", "no disk"), entry("test_each[a b]", "a space")])
+PASSING = ALL_ENTRIES.replace("::test_broken", "::test_green")
 
 
 @pytest.mark.parametrize(
     "entries, exit_code, expected",
     [
         (None, 1, "2 failed, 1 passed, 1 error"),
-        (ONE_ENTRY, 1, "known red: " + ONE_ENTRY),
-        (ALL_ENTRIES, 0, "known red: " + ONE_ENTRY),
-        (ALL_ENTRIES.replace("test_broken: ", "test_green: "), 1, "XPASS(strict)"),
-        (ALL_ENTRIES + "\ntests/test_one.py::test_green: more (issue 9)", 4, "4 lines, where 3 are allowed"),
-        (ONE_ENTRY + "\n" + ONE_ENTRY, 4, "twice"),
-        ("tests/test_one.py::test_red fails", 4, "KNOWN-RED.txt:1: not"),
-        (ONE_ENTRY.replace("test_red", "test_blue"), 4, "names no test"),
+        (ONE_ENTRY, 1, PRINTED),
+        (ALL_ENTRIES, 0, PRINTED),
+        ("\n\n" + ALL_ENTRIES + "\n\n", 0, PRINTED),
+        (PASSING, 1, "XPASS(strict)"),
+        (ALL_ENTRIES + "\n\n" + entry("test_green"), 4, "4 entries, where 3 are allowed"),
+        (ONE_ENTRY + "\n\n" + ONE_ENTRY, 4, "twice"),
+        (ONE_ENTRY + "\n" + ONE_ENTRY, 4, "KNOWN-RED.txt:6: after the last key: 'test: "),
+        ("tests/test_one.py::test_red: the clock steps (issue 7)", 4, "KNOWN-RED.txt:1: not 'test: ...'"),
+        (ONE_ENTRY.replace("seed: none\n", ""), 4, "KNOWN-RED.txt:3: not 'seed: ...': 'seen: "),
+        (entry("test_red", " "), 4, "KNOWN-RED.txt:4: not 'seen: ...'"),
+        (ONE_ENTRY.rpartition("\n")[0], 4, "KNOWN-RED.txt:5: not 'issue: ...': ''"),
+        (entry("test_red", issue="soon"), 4, "KNOWN-RED.txt:5: issue: no number: 'soon'"),
+        (entry("test_blue"), 4, "names no test"),
     ],
     ids=[
         "no file",
         "others fail",
         "exactly these",
+        "blank lines around",
         "one passes",
         "a fourth",
         "twice",
-        "malformed",
+        "no blank line between",
+        "former form",
+        "no seed",
+        "nothing seen",
+        "no issue",
+        "issue without a number",
         "no test",
     ],
 )
