Eviction is a module of its own; a replaced process ends stalled clients for the new one

Need: who makes way stood in the set of connections among accepting, draining and time limits.

Change: eviction.py finds, orders and ends candidates; Clients.must_share says when others wait for what stalled clients hold: connections to servers used up, or another process accepting while over a third is taken.

Result: test_slow_clients (one new test, slow clients of the old process stay), test_sidecar, test_shutdown and test_hot_restart pass, 78.

--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -483,7 +483,8 @@
             if not is_reading and self.has_unread_bytes():
                 return False
             self.evicted = True
-        self.shutdown(socket.SHUT_RDWR if is_reading else socket.SHUT_RD)
+        how = socket.SHUT_RDWR if is_reading else socket.SHUT_RD
+        self.close_undetectable = arrival.shutdown(self.sock, how)
         return True
 
     def stalled_for(self, now: int) -> int:
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -10,8 +10,8 @@
 import time
 from collections import Counter
 
-from . import arrival, clock
-from .client import BUSY, CLOSING, DISCARDING, DRAINING, FRESH, IDLE, PARTIAL, Client
+from . import arrival, clock, eviction
+from .client import BUSY, CLOSING, DRAINING, FRESH, IDLE, PARTIAL, Client
 from .config import Config
 from .dispatch import Dispatcher
 from .servers import start_thread
@@ -27,9 +27,6 @@
 SINGLE_USE_IDLE_TIMEOUT_US = 60_000  # while crowded, on a connection that has been used only once
 DRAIN_FIRST_BYTE_TIMEOUT_US = 300_000  # for a new connection's first request, while connections are drained
 LINGER_TIMEOUT_US = 1_000_000  # for the client to close after this side has
-# At the limit, after how long in a state a connection may be closed to make place for a new one.
-EVICTABLE_AFTER_US = {FRESH: 50_000, CLOSING: 100_000, DISCARDING: 100_000, IDLE: 100_000}
-UNUSED_STATES = (FRESH, CLOSING, DISCARDING)  # no answer is due on these connections
 EVICTION_INTERVAL_US = 5_000  # between searches for such connections
 EXTRA_EVICTIONS = 8  # closed at a time beyond what is needed, since new connections come in bursts
 ACCEPT_HEADROOM = 24  # accepted beyond the limit, while others are being closed
@@ -194,45 +191,21 @@
         return len(self.open) - len(self.fresh) > self.connection_limit
 
     def evict_idle(self) -> None:
-        """Close overdue connections at the limit: unused ones first, then those that have waited longest.
-
-        Otherwise clients that connect by hundreds and send nothing, stop within a request, or send one and
-        stay would use up all connections.  No more of them are closed than are in the way.  A fresh one
-        gets some time first: its first request may be on its way and would be lost, while a client repeats a
-        request that crosses the closing of a connection it has used before.
-        """
+        """Close connections that may make place at the limit; not at each new one, as a search costs time."""
         now = clock.now()
         if now - self.last_eviction_at < EVICTION_INTERVAL_US:
-            return  # a search for each new connection would cost too much
+            return
         self.last_eviction_at = now
-        overdue: list[tuple[bool, int, int, int, Client]] = []
-        ending = 0  # will make place without being closed here
-        for client in list(self.open):
-            state, since = client.state, client.state_since
-            if client.has_stalled(now):
-                overdue.append((True, now - client.stalled_for(now), len(overdue), state, client))
-            elif now - since >= EVICTABLE_AFTER_US.get(state, now):
-                overdue.append((state not in UNUSED_STATES, since, len(overdue), state, client))
-            elif state == CLOSING or client.evicted:
-                ending += 1
-        needed = max(0, len(self.open) - self.connection_limit) + EXTRA_EVICTIONS
-        needed_of_stalled = needed - ending
-        for *_, state, client in sorted(overdue)[:needed]:
-            if state not in (BUSY, PARTIAL):
-                client.expire(state)
-            elif needed_of_stalled > 0:
-                needed_of_stalled -= 1
-                client.evict_stalled(now) if state == BUSY else client.expire(state)
+        excess = max(0, len(self.open) - self.connection_limit)
+        eviction.evict(list(self.open), excess + EXTRA_EVICTIONS, now)
 
-    def evict_stalled_uploads(self) -> None:
-        """End uploads that have stalled, while they hold connections to servers which others wait for."""
-        now = clock.now()
-        stalled = [
-            client for client in list(self.open) if client.upload is not None and client.has_stalled(now)
-        ]
-        stalled.sort(key=lambda client: client.stalled_for(now), reverse=True)
-        for client in stalled[:EXTRA_EVICTIONS]:
-            client.evict_stalled(now)
+    def must_share(self) -> bool:
+        """Whether others wait for what stalled clients hold.
+
+        These are connections to servers, or the part of the limits that another process needs which accepts
+        in this one's place.
+        """
+        return self.server_connections_used_up or self.is_crowded() and not self.accept_enabled.is_set()
 
     def pause_accepting(self, paused: bool) -> None:
         """Leave new connections to another process (`paused`), or accept them again."""
@@ -284,9 +257,9 @@
         """Close connections that have been in their state for too long."""
         if self.dispatcher.out_of_service:
             self.close_idle()
-        if self.server_connections_used_up:
-            self.evict_stalled_uploads()
         now = clock.now()
+        if self.must_share():
+            eviction.evict_stalled(list(self.open), EXTRA_EVICTIONS, now)
         # A client may use up its connections with ones on which it sends a single request and which it keeps
         # open.  Those have shown no further use and are closed first.
         crowded = self.is_crowded()
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -165,6 +165,26 @@
     assert [client.evicted for client in clients.open] == [True, False, False]
 
 
+def test_stalled_clients_of_a_replaced_process_leave_its_part_of_the_limits_to_the_new_one(
+    tmp_path: Path,
+) -> None:
+    """Beside them: slow ones go on, and as long as connections are few nobody is ended."""
+    states = [(PARTIAL, 900_000, 0), (BUSY, 900_000, 0), (PARTIAL, 900_000, 500_000), (IDLE, 10_000, 0)]
+    clients = clients_in_one_state(tmp_path, states)
+    clients.pause_accepting(True)
+    clients.connection_limit = 30
+    clients.sweep()
+    assert not any(client.evicted or client.state == CLOSING for client in clients.open)
+    clients.connection_limit = 9
+    clients.sweep()
+    assert [client.evicted or client.state == CLOSING for client in clients.open] == [
+        True,
+        True,
+        False,
+        False,
+    ]
+
+
 def test_a_reader_that_stops_makes_way_after_seconds(tmp_path: Path) -> None:
     clients = clients_in_one_state(tmp_path, [(BUSY, 0, 0), (BUSY, 0, 0)])
     for client, blocked_us in zip(clients.open, (2 * SECOND_US, 4 * SECOND_US)):
