Relay: clients that stop within a request make way for followers

Change: at the limit those that have sent no whole request for 1 s are closed for newcomers. A follower asks as soon as it is answered, so one that waits for its answer or reads it is not among them.

--- a/pumicepath/relay/loop.py
+++ b/pumicepath/relay/loop.py
@@ -38,6 +38,8 @@
 MIN_ITERATION_US = 10_000  # least time between two iterations while nothing is queued
 SWEEP_INTERVAL_US = 250_000  # between two searches for connections that have timed out
 REQUEST_TIMEOUT_US = 3_000_000  # from a connection's start, or an answer, until the next complete request
+SILENT_AFTER_US = 1_000_000  # the same, where places are scarce: a follower asks as soon as it is answered
+EVICTION_INTERVAL_US = 50_000  # between two searches for such followers
 WRITE_TIMEOUT_US = 3_000_000  # from an answer's first byte until the socket has taken the last
 FULL_CLEAR_US = 1_000_000  # without a rejected connection, until the relay no longer counts as full
 LATE_ITERATION_US = 400_000  # past its timer, an iteration counts as late: the process was stalled
@@ -71,7 +73,7 @@
         self.stop = False
         self.full = self.paced = False
         self.last_full_at = 0
-        self.swept_at = 0
+        self.swept_at = self.evicted_at = 0
         descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         spare = descriptors - RESERVED_DESCRIPTORS - MAX_ADMIN_CONNECTIONS - 2 * len(config.sources)
         # Followers must not use up the descriptors that connections to origins need.
@@ -168,6 +170,8 @@
             sock = self.accept_one(self.listener, now)
             if sock is None:
                 return
+            if len(self.followers) >= self.max_followers:
+                self.evict_silent(now)
             if len(self.followers) >= self.max_followers:
                 self.counters["refused_full"] += 1
                 self.report_full(now, f"{self.max_followers} followers")
@@ -177,6 +181,19 @@
                 continue
             self.add_connection(sock, now, self.followers)
 
+    def evict_silent(self, now: int) -> None:
+        """Close followers that have sent no whole request for a while, as others wait for their places.
+
+        Clients that connect and stop within a request would otherwise keep followers out until they time out.
+        """
+        if now - self.evicted_at < EVICTION_INTERVAL_US:
+            return
+        self.evicted_at = now
+        for follower in list(self.followers.values()):
+            if follower.state == READING and now - follower.state_since >= SILENT_AFTER_US:
+                self.counters["idle"] += 1
+                follower.close()
+
     def accept_admin(self, now: int) -> None:
         """Accept a connection of an operator; at the limit the oldest one is closed for it."""
         assert self.admin_listener is not None
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -25,6 +25,7 @@
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import read_message
 from pumicepath.relay import config, loop
+from pumicepath.relay.loop import REQUEST_TIMEOUT_US
 from pumicepath.relay.upstreams import DECODE_BATCH_LINES
 
 from .relay_rig import TIMEOUT_S, Follower, Origin, RelayProcess, list_line, wait_until
@@ -451,6 +452,23 @@
     late.poll_until(lambda: "n" in late.lines)
 
 
+def test_clients_that_stop_within_a_request_make_way_for_followers(relays: MakeRelay) -> None:
+    """They kept all places until they timed out, and followers were rejected all that time."""
+    origin = origin_of_three()
+    relay = relays({"eu": origin}, files=64)
+    most = relay.wait_for_event("started")["most_followers"]
+    waiting = Follower(relay.socket_address)
+    waiting.poll_until(lambda: is_live(waiting))
+    waiting.send_request(20_000)
+    stopped = [socket.create_connection(relay.socket_address) for _ in range(most - 1)]
+    for sock in stopped:
+        sock.sendall(b"GET /discovery/hosts HTTP/1.1\r\n")
+    wait_until(lambda: Follower(relay.socket_address).call(1) is not None, 0.9 * REQUEST_TIMEOUT_US / 1e6)
+    assert relay.stats()["idle"] == len(stopped)
+    origin.put(list_line("n", "cart"))
+    assert waiting.receive() is not None  # it had asked, so it was not one of them
+
+
 def test_accepting_pauses_without_descriptors_and_resumes(relays: MakeRelay) -> None:
     origin = origin_of_three()
     relay = relays({"eu": origin})
