The id of a request is in use for as long as its body or answer takes

Change: TraceIds, a module of its own, holds an id on while its exchange is open or its answer is being streamed.

--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -27,6 +27,7 @@
 from .exchange import Exchange, Hop, UploadDeadline
 from .log import Log
 from .servers import Pool, ServerConnection
+from .trace_ids import TraceIds
 
 NO_DEADLINE_US = (1 << 63) - 1
 MAX_THREAD_DELAY_US = 10_000  # above this scheduling delay of our own threads, latency timers are postponed
@@ -92,8 +93,8 @@
         self.metrics = Metrics()
         self.config_loads = self.config_failures = 0
         self.pool = Pool(self, config, log)
-        self.trace_ids: set[str] = set()
-        self.trace_expiries: deque[tuple[int, str]] = deque()
+        self.streaming: set[int] = set()  # exchanges whose answer is being streamed, by number
+        self.trace_ids = TraceIds(lambda number: number in self.exchanges or number in self.streaming)
         self.balancer = Balancer(config.settings, config.seed, self)
         # Replaced as a whole: a thread reads it once per request and uses that one until the answer.
         self.active_config: ActiveConfig = (config, self.balancer.class_states)
@@ -212,20 +213,16 @@
     def submit(self, exchange: Exchange, class_state: ClassState, key: int, retry: bool) -> bool:
         """Submit an exchange to the balancer; False if its trace id is in use.
 
-        A trace id stays in use until the submission's deadline, even when it has been answered: a hop of it
-        may still run at a server, and servers identify submissions by this id.
+        A trace id stays in use until the submission's deadline, even when it has been answered, and for as
+        long as its body or answer is being streamed.
         """
 
         def call(now: int) -> None:
-            while self.trace_expiries and self.trace_expiries[0][0] <= now:
-                self.trace_ids.discard(self.trace_expiries.popleft()[1])
-            if exchange.trace_id in self.trace_ids:
+            until = min(exchange.deadline_at, now + self.max_deadline)
+            number = self.admitted + 1
+            if not self.trace_ids.claim(now, exchange.trace_id, number, until, self.max_deadline):
                 return
-            self.trace_ids.add(exchange.trace_id)
-            self.trace_expiries.append(
-                (min(exchange.deadline_at, now + self.max_deadline), exchange.trace_id)
-            )
-            self.admitted += 1
+            self.admitted = number
             exchange.number = self.admitted
             self.exchanges[exchange.number] = exchange
             exchange.submission = self.balancer.submit_with(
@@ -299,6 +296,7 @@
 
         def call(now: int) -> None:
             connection.hop = None
+            self.streaming.discard(exchange.number)
             if reuse:
                 self.pool.release(now, connection)
             else:
@@ -349,6 +347,7 @@
                 and exchange.submission is not None
             ):
                 exchange.answered = hop.ended = True
+                self.streaming.add(exchange.number)
                 exchange.submission.hop_finished(
                     now, hop.number, Outcome.OK, max(hop.started_at, hop.received_at) - hop.started_at, True
                 )
@@ -372,6 +371,7 @@
             if not exchange.answered:
                 self.answer(exchange, answers.FAILED)
             self.exchanges.pop(exchange.number, None)
+            self.streaming.discard(exchange.number)
 
         self.run_locked(call)
 
