Lock, timers and writing to clients are modules of their own; a failed body leaves no cycle

Change: CombiningLock (the lock whose owner runs the calls of others), TimerQueue, SocketWriter (also how long a client has not read). No behaviour changes. UploadFailure, a status and a reason, takes the place of the exception that an upload kept: with its traceback it held the connection until the next collection.

--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -16,11 +16,11 @@
 from ..http1 import writing
 from ..http1.messages import MalformedMessageError, Request
 from ..http1.parsing import MAX_BODY_BYTES, MAX_HEAD_BYTES, START, RequestParser
-from ..http1.ring import Ring
 from . import answers, arrival, clock
 from .dispatch import Dispatcher
 from .exchange import CLIENT_CHECK_AFTER_US, Exchange, UploadError
 from .sending_rate import SendingRate
+from .socket_writer import SocketWriter
 from .submissions import CLASS_HEADER, parse_submission
 from .upload import MAX_UPLOAD_US, Upload
 
@@ -77,11 +77,10 @@
         self.upload: Upload | None = None
         self.sending_rate = SendingRate(now)  # of an incomplete request
         self.evicted = False  # it had stalled within a request, and its place was needed
-        self.write_blocked_since = 0  # 0 unless a write waits for the client to read
         self.holds_slot = False  # of the admission gate
         self.answered = threading.Event()
         self.state_lock = threading.Lock()
-        self.write_buffer = Ring(MAX_HEAD_BYTES + MAX_BODY_BYTES + 1024)
+        self.writer = SocketWriter(sock, MAX_HEAD_BYTES + MAX_BODY_BYTES + 1024)
 
     # -- reading, by the connection's own thread
 
@@ -160,11 +159,11 @@
 
     def finish_upload(self, upload: Upload) -> None:
         """Drop what is still to come of a body whose request has been answered; one that failed ends here."""
-        if not upload.complete and upload.error is None:
+        if not upload.complete and upload.failure is None:
             self.set_state(DISCARDING)
             with suppress(UploadError):
                 upload.discard()
-        if upload.error is not None:
+        if upload.failure is not None:
             self.set_state(CLOSING)
             self.shutdown(socket.SHUT_WR)
 
@@ -263,10 +262,10 @@
         except Exception:
             dispatcher.abort_exchange(exchange)
             raise
-        failure = self.upload.error if self.upload is not None else None
-        if exchange.client_left and failure is not None and failure.answer is not None:
+        failure = self.upload.failure if self.upload is not None else None
+        if exchange.client_left and failure is not None and failure.status:
             self.class_name = ""  # it was never complete, so it is not counted
-            self.send_error(failure.answer, False)
+            self.send_error(MalformedMessageError(failure.status, failure.reason), False)
         elif exchange.client_left and self.draining:
             # The request crossed our shutdown, after which its client may have closed its own side as well;
             # it must still be answered.
@@ -398,33 +397,17 @@
 
     def write(self, data: bytes) -> bool:
         """Write all of the data; False if the connection broke or timed out."""
-        remaining = memoryview(data)
         try:
-            while remaining:
-                remaining = remaining[self.write_buffer.write(remaining) :]
-                while len(self.write_buffer):
-                    self.write_buffer.consume(self.send(self.write_buffer.readable()))
+            # While the write blocks, a client that does not read must not hold a slot that others wait for.
+            self.writer.write(data, self.release_slot)
         except OSError:
             self.keep_alive = False  # the client left or does not read: the response is incomplete
             return False
         return True
 
-    def send(self, data: memoryview) -> int:
-        """Send what the socket accepts, blocking if it accepts nothing."""
-        try:
-            return self.sock.send(data, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            # While this blocks, a client that does not read must not hold a slot that others wait for.
-            self.release_slot()
-            self.write_blocked_since = clock.now()
-            try:
-                return self.sock.send(data)
-            finally:
-                self.write_blocked_since = 0
-
     def finish(self, reset: bool = False) -> None:
         """Count the answer, shut the connection down unless it is kept alive, and wake its thread."""
-        self.write_buffer.shrink()
+        self.writer.shrink()
         if self.class_name:
             self.owner.dispatcher.metrics.submission_finished(self.class_name, self.status)
             self.class_name = ""
@@ -440,7 +423,7 @@
 
     def has_left(self) -> bool:
         """Whether the client is known to have closed the connection, or failed to send its body."""
-        if self.upload is not None and self.upload.error is not None:
+        if self.upload is not None and self.upload.failure is not None:
             return True
         return not self.close_undetectable and arrival.is_closed(self.sock)
 
@@ -477,7 +460,7 @@
         Called by other threads.  What has arrived and was not read yet is no silence of the client.
         """
         with self.state_lock:
-            is_reading = bool(self.write_blocked_since)
+            is_reading = bool(self.writer.blocked_since)
             if self.state != BUSY or self.evicted or not self.has_stalled(now):
                 return False
             if not is_reading and self.has_unread_bytes():
@@ -489,12 +472,12 @@
 
     def stalled_for(self, now: int) -> int:
         """For how long the client has not sent, or not read, what it is expected to."""
-        return now - self.write_blocked_since if self.write_blocked_since else self.sending_rate.silence(now)
+        return self.writer.blocked_for(now) or self.sending_rate.silence(now)
 
     def has_stalled(self, now: int) -> bool:
         """Whether the client has stopped sending within a request, or reading within an answer."""
-        if self.write_blocked_since:
-            return now - self.write_blocked_since >= READER_STALLED_AFTER_US
+        if self.writer.blocked_since:
+            return self.writer.blocked_for(now) >= READER_STALLED_AFTER_US
         is_sending = self.state == PARTIAL or self.state == BUSY and self.upload is not None
         return is_sending and self.sending_rate.has_stalled(now)
 
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -244,7 +244,7 @@
 
     def on_timer(self, now: int) -> None:
         """Queue a search for expired connections and set the next timer; called with the lock held."""
-        self.dispatcher.after_unlock.append(self.sweep)
+        self.dispatcher.do_after_unlock(self.sweep)
         self.server_connections_used_up = self.dispatcher.pool.is_full()
         is_urgent = self.is_crowded() or self.dispatcher.out_of_service or self.server_connections_used_up
         self.dispatcher.set_timer(now + (CROWDED_SWEEP_INTERVAL_US if is_urgent else SWEEP_INTERVAL_US), self)
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -7,10 +7,7 @@
 
 from __future__ import annotations
 
-import threading
-from collections import deque
 from collections.abc import Callable
-from heapq import heappop, heappush
 
 from ..admin.metrics import Metrics
 from ..balancer import Balancer, ClassState, Submission
@@ -22,11 +19,13 @@
 from ..invariants import check_invariant
 from . import answers, clock
 from .admission_gate import AdmissionGate
+from .combining_lock import CombiningLock
 from .config import Config
 from .delay_monitor import DelayMonitor
 from .exchange import Exchange, Hop, UploadDeadline
 from .log import Log
 from .servers import Pool, ServerConnection
+from .timers import PostponedTimer, TimerQueue
 from .trace_ids import TraceIds
 
 NO_DEADLINE_US = (1 << 63) - 1
@@ -36,38 +35,6 @@
 ActiveConfig = tuple[Config, tuple[ClassState, ...]]
 
 
-class PendingCall:
-    """A call to run under the lock, its error, and the work that it queued for afterwards."""
-
-    __slots__ = ("call", "after_unlock", "error", "done")
-
-    def __init__(self, call: Callable[[int], None]) -> None:
-        self.call = call
-        self.after_unlock: list[Callable[[], None]] = []
-        self.error: Exception | None = None
-        self.done: threading.Lock | None = None
-
-
-class PostponedTimer:
-    """A submission's timer, postponed once because our own threads were late."""
-
-    __slots__ = ("handler",)
-
-    def __init__(self, handler: Submission) -> None:
-        self.handler = handler
-
-    def is_finished(self) -> bool:
-        """Whether the submission has ended, so that the timer can be dropped."""
-        return self.handler.is_finished()
-
-    def on_timer(self, now: int) -> None:
-        """Run the submission's timer."""
-        self.handler.on_timer(now)
-
-
-ENDING_HANDLERS = (Submission, Exchange, PostponedTimer, UploadDeadline)
-
-
 class Dispatcher:
     """Owns the balancer, the open exchanges and the timers, and is the balancer's host.
 
@@ -77,14 +44,8 @@
     def __init__(self, config: Config, log: Log, on_list_request: Callable[[], None]) -> None:
         self.events = log
         self.on_list_request = on_list_request
-        self.lock = threading.Lock()
-        self.pending_calls: deque[PendingCall] = deque()
-        self.timers_changed = threading.Event()
-        self.timer_wait_s: float | None = None
-        self.timers: list[tuple[int, int, TimerHandler]] = []
-        self.timer_sequence = 0
-        self.pending_closes: list[Callable[[], None]] = []
-        self.after_unlock: list[Callable[[], None]] = []
+        self.combining_lock = CombiningLock(self.log_fault)
+        self.timers = TimerQueue()
         self.exchanges: dict[int, Exchange] = {}
         self.admitted = 0
         self.draining = False  # since SIGTERM
@@ -105,71 +66,30 @@
     # -- the lock and the timers
 
     def run_locked(self, call: Callable[[int], None]) -> None:
-        """Run a call under the lock, then, without the lock, the work that it queued; re-raise its exception.
+        """Run a call under the lock, then the work that it queued; re-raise the call's exception."""
+        self.combining_lock.run(call)
 
-        The thread that holds the lock also runs the calls of the threads that wait for it (flat combining).
-        With a plain lock and hundreds of threads, each owner would have to wait for the interpreter lock
-        while all others wait for that owner (a lock convoy).
-        """
-        pending = PendingCall(call)
-        if self.lock.acquire(False):
-            self.run_call(pending)
-            self.run_pending_calls()
-        else:
-            pending.done = threading.Lock()
-            pending.done.acquire()
-            self.pending_calls.append(pending)
-            if self.lock.acquire(False):  # released between the two attempts
-                self.run_pending_calls()
-            pending.done.acquire()
-        self.run_actions(pending.after_unlock)
-        if pending.error is not None:
-            raise pending.error
-
-    def run_call(self, pending: PendingCall) -> None:
-        """Run one call with the lock held and collect the work that it queued."""
-        try:
-            pending.call(clock.now())
-        except Exception as error:  # raised in the caller after the work queued before it
-            pending.error = error
-        pending.after_unlock, self.after_unlock = self.pending_closes + self.after_unlock, []
-        self.pending_closes = []
-
-    def run_pending_calls(self) -> None:
-        """Run all queued calls and release the lock, which the caller must hold.
-
-        The queue is checked again after the release: a thread that queued its call just before that may have
-        found the lock taken and now waits for someone to run it.
-        """
-        while True:
-            while self.pending_calls:
-                pending = self.pending_calls.popleft()
-                self.run_call(pending)
-                if pending.done is not None:
-                    pending.done.release()
-            self.lock.release()
-            if not self.pending_calls or not self.lock.acquire(False):
-                return
+    def do_after_unlock(self, action: Callable[[], None]) -> None:
+        """Queue work to be done once the lock is released; called with the lock held."""
+        self.combining_lock.after_unlock.append(action)
 
-    def run_actions(self, actions: list[Callable[[], None]]) -> None:
-        """Run queued work without the lock; exceptions are logged."""
-        for action in actions:
-            try:
-                action()
-            except Exception as error:  # a failure on one connection must not stop the others' answers
-                self.events.event("fault", text=f"{type(error).__name__}: {error}")
+    def close_after_unlock(self, action: Callable[[], None]) -> None:
+        """Queue a socket shutdown, done after the lock is released and before all other queued work."""
+        self.combining_lock.closes.append(action)
+
+    def log_fault(self, error: Exception) -> None:
+        """Log an exception that must not end the thread it was raised in."""
+        self.events.event("fault", text=f"{type(error).__name__}: {error}")
 
     def run_timers(self) -> None:
         """Run due timers for as long as the process lives; the body of the timer thread."""
         while True:
             self.run_locked(self.fire_timers)
-            self.timers_changed.wait(self.timer_wait_s)
-            self.timers_changed.clear()
+            self.timers.wait()
 
     def fire_timers(self, now: int) -> None:
         """Run all timers that are due; called with the lock held."""
-        while self.timers and self.timers[0][0] <= now:
-            handler = heappop(self.timers)[2]
+        while (handler := self.timers.pop_due(now)) is not None:
             if (
                 type(handler) is Submission
                 and self.delay_monitor.delay > MAX_THREAD_DELAY_US
@@ -182,17 +102,8 @@
             try:
                 handler.on_timer(now)
             except Exception as error:  # this thread ends all timed-out submissions and must go on
-                self.events.event("fault", text=f"{type(error).__name__}: {error}")
-        self.drop_finished_timers()
-        self.timer_wait_s = max(0.0, (self.timers[0][0] - now) / 1e6) if self.timers else None
-
-    def drop_finished_timers(self) -> None:
-        """Drop timers of finished submissions at the head of the queue, which would only wake the thread."""
-        while self.timers:
-            handler = self.timers[0][2]
-            if not isinstance(handler, ENDING_HANDLERS) or not handler.is_finished():
-                return
-            heappop(self.timers)
+                self.log_fault(error)
+        self.timers.settle(now)
 
     # -- configuration and submissions
 
@@ -397,7 +308,7 @@
         if check_invariant(not exchange.answered, "second final answer"):
             exchange.answered = True
             client = exchange.client
-            self.after_unlock.append(lambda: client.answer(answer, not self.closes_connections()))
+            self.do_after_unlock(lambda: client.answer(answer, not self.closes_connections()))
 
     def remove_if_finished(self, exchange: Exchange) -> None:
         """Forget an exchange that has its final answer and no hop in flight; called with the lock held."""
@@ -526,19 +437,12 @@
 
     def request_server_list(self) -> None:
         """Request the server list once the lock is released."""
-        self.after_unlock.append(self.on_list_request)
-
-    def close_after_unlock(self, action: Callable[[], None]) -> None:
-        """Queue a socket shutdown, done after the lock is released and before all other queued work."""
-        self.pending_closes.append(action)
+        self.do_after_unlock(self.on_list_request)
 
     def set_timer(self, at: int, handler: TimerHandler) -> None:
         """Set a timer; it is dropped early only if its submission has ended."""
-        self.timer_sequence += 1
-        heappush(self.timers, (at, self.timer_sequence, handler))
-        if self.timers[0][1] == self.timer_sequence:
-            self.timers_changed.set()
+        self.timers.set(at, handler)
 
     def log(self, text: str) -> None:
         """Queue a log event with a text of the balancer."""
-        self.after_unlock.append(lambda: self.events.event("mode", text=text))
+        self.do_after_unlock(lambda: self.events.event("mode", text=text))
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -4,10 +4,10 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from ..balancer import Submission
-from ..http1.messages import MalformedMessageError, Request
+from ..http1.messages import Request
 from ..http1.parsing import ResponseParser
 from ..interface import Effect, Outcome, TimerHandler
 from ..invariants import check_invariant
@@ -71,15 +71,19 @@
         """
 
 
-class UploadError(Exception):
-    """The client has broken off its body, or sends it too slowly.
+class UploadFailure(NamedTuple):
+    """Why a body will not be complete: the status owed to its client, 0 if it has gone, and the reason."""
 
-    `answer` is the error that it is owed, None if it has gone.
-    """
+    status: int
+    reason: str
+
+
+class UploadError(Exception):
+    """The client has broken off its body, or sends it too slowly."""
 
-    def __init__(self, reason: str, answer: MalformedMessageError | None = None) -> None:
-        super().__init__(reason)
-        self.answer = answer
+    def __init__(self, failure: UploadFailure) -> None:
+        super().__init__(failure.reason)
+        self.failure = failure
 
 
 class ExchangeOwner(Protocol):
--- a/pumicepath/sidecar/upload.py
+++ b/pumicepath/sidecar/upload.py
@@ -15,13 +15,14 @@
 from ..http1.parsing import RequestParser
 from . import arrival, clock
 from .body_arrival import BodyArrival, unread_bytes
-from .exchange import UploadError
+from .exchange import UploadError, UploadFailure
 from .sending_rate import SendingRate
 
 MAX_UPLOAD_US = 900_000_000  # longer than the longest body takes at the least rate
 POLL_TIMEOUT = struct.pack("ll", 0, 100_000)  # 0.1 s, as a struct timeval
 NO_TIMEOUT = struct.pack("ll", 0, 0)
 PIECE_BYTES = 64 * 1024
+TOO_SLOW = UploadFailure(408, "unfinished")
 
 
 class UploadClient(Protocol):
@@ -42,7 +43,7 @@
     """The body of the request that the parser is reading.
 
     `length` is in bytes or `writing.CHUNKED`; `started` says that a piece has been handed out, `complete`
-    that the last one has; `error` is why the body will not be complete.
+    that the last one has; `failure` is why the body will not be complete.
     """
 
     def __init__(self, client: UploadClient, parser: RequestParser) -> None:
@@ -52,7 +53,7 @@
         self.length = incoming[1] if incoming else 0
         self.started = False
         self.complete = False
-        self.error: UploadError | None = None
+        self.failure: UploadFailure | None = None
         self.arrival = BodyArrival(client.sock, clock.now())
 
     @property
@@ -80,14 +81,14 @@
                     self.started = self.complete = True
                     yield request.body, True
         except UploadError as error:
-            self.error = error
+            self.failure = error.failure
             raise
         except MalformedMessageError as error:
-            self.error = UploadError(str(error), error)
-            raise self.error from error
+            self.failure = UploadFailure(error.status, str(error))
+            raise UploadError(self.failure) from error
         except OSError as error:
-            self.error = UploadError(str(error))
-            raise self.error from error
+            self.failure = UploadFailure(0, str(error))
+            raise UploadError(self.failure) from error
         finally:
             self.client.sending_rate.pause()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, NO_TIMEOUT)
@@ -109,7 +110,7 @@
         else:
             self.commit(count, received_at)
         if rate.is_too_slow(clock.now()):
-            raise too_slow()
+            raise UploadError(TOO_SLOW)
         if count:
             rate.pause()
             self.note_progress(count < len(space))
@@ -118,7 +119,7 @@
         """Take up a read; one of nothing is the end of the connection, or follows our own shutdown."""
         rate = self.client.sending_rate
         if not count and self.client.evicted:
-            raise too_slow()
+            raise UploadError(TOO_SLOW)
         if not count and not self.client.is_read_shutdown():
             raise ConnectionResetError("body broken off")
         self.arrival.add_read(rate.waiting_since, received_at, count)
@@ -150,9 +151,3 @@
         """Read and drop the rest: a close before its end would reset the connection and lose the answer."""
         for _ in self.pieces():
             pass
-
-
-def too_slow() -> UploadError:
-    """Return the error for a client that sends its body too slowly."""
-    error = MalformedMessageError(408, "unfinished")
-    return UploadError(str(error), error)
