Long bodies: the client's buffers are looked at without the dispatcher's lock

Asking the kernel for unread bytes (ioctl) lets go of the interpreter, and nothing under the lock may: the timer queues it for after the lock, and decides under it again.

--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -112,6 +112,12 @@
     def set_timer(self, at: int, handler: TimerHandler) -> None:
         """Set a timer; called with the lock held."""
 
+    def run_locked(self, call: Callable[[int], None]) -> None:
+        """Run a call under the lock."""
+
+    def do_after_unlock(self, action: Callable[[], None]) -> None:
+        """Queue work to be done once the lock is released; called with the lock held."""
+
     def close_after_unlock(self, action: Callable[[], None]) -> None:
         """Queue an action to be done after the lock is released, before all other queued work."""
 
@@ -232,15 +238,24 @@
         return self.exchange.answered or submission is not None and not submission.uploading
 
     def on_timer(self, now: int) -> None:
-        """End the submission if its time is over, else wait for the earliest moment at which it can be."""
+        """Look at the client's connection once the lock is released, as that asks the kernel."""
+        if not self.is_finished():
+            self.exchange.owner.do_after_unlock(lambda: self.examine(now))
+
+    def examine(self, now: int) -> None:
+        """Find when the submission's time is over at the earliest, without the lock."""
+        due_at = self.upload.unfinished_since(now) + self.exchange.deadline
+        self.exchange.owner.run_locked(lambda now: self.decide(now, due_at))
+
+    def decide(self, now: int, due_at: int) -> None:
+        """End the submission if its time is over, else wait until it may be; called with the lock held."""
         if self.is_finished():
             return
-        exchange, owner = self.exchange, self.exchange.owner
-        due_at = min(self.upload.unfinished_since(now) + exchange.deadline, owner.shutdown_at)
+        due_at = min(due_at, self.exchange.owner.shutdown_at)
         if due_at > now:
-            owner.set_timer(due_at, self)
+            self.exchange.owner.set_timer(due_at, self)
         else:
-            exchange.end_upload(now)
+            self.exchange.end_upload(now)
 
 
 class Hop:
--- a/tests/test_upload_deadline.py
+++ b/tests/test_upload_deadline.py
@@ -3,6 +3,7 @@
 import signal
 import socket
 import threading
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -125,6 +126,17 @@
 
     def __init__(self) -> None:
         self.timers: list[int] = []
+        self.now = 0
+
+    def do_after_unlock(self, action: Callable[[], None]) -> None:
+        action()
+
+    def run_locked(self, call: Callable[[int], None]) -> None:
+        call(self.now)
+
+    def fire(self, deadline: UploadDeadline, now: int) -> None:
+        self.now = now
+        deadline.on_timer(now)
 
     def set_timer(self, at: int, handler: UploadDeadline) -> None:
         self.timers.append(at)
@@ -137,11 +149,11 @@
     deadline = UploadDeadline(exchange, upload)  # type: ignore[arg-type]
     upload.unfinished_until = 500 * SECOND_US
     for now in range(2 * SECOND_US, 500 * SECOND_US, 2 * SECOND_US):
-        deadline.on_timer(now)
+        owner.fire(deadline, now)
         assert owner.timers.pop() == now + 2 * SECOND_US
-    deadline.on_timer(501 * SECOND_US)
+    owner.fire(deadline, 501 * SECOND_US)
     assert owner.timers == [502 * SECOND_US] and not exchange.ended
-    deadline.on_timer(502 * SECOND_US)
+    owner.fire(deadline, 502 * SECOND_US)
     assert exchange.ended == [502 * SECOND_US]
 
 
@@ -150,7 +162,7 @@
     exchange = RecordedExchange(owner, upload)
     upload.unfinished_until = 500 * SECOND_US
     owner.shutdown_at = 11 * SECOND_US
-    UploadDeadline(exchange, upload).on_timer(10 * SECOND_US)  # type: ignore[arg-type]
+    owner.fire(UploadDeadline(exchange, upload), 10 * SECOND_US)  # type: ignore[arg-type]
     assert owner.timers == [11 * SECOND_US]
 
 
