--- a/tests/test_all_gone.py
+++ b/tests/test_all_gone.py
@@ -4,11 +4,14 @@
 import signal
 import socket
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
+from pumicepath.discovery.server_list import ServerList
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import Deployment, http_response
+from pumicepath.sidecar import config, running
 
 
 def list_response(deployment: Deployment, seq: int, health: str = "") -> bytes:
@@ -84,3 +87,13 @@
         deployment.process.send_signal(signal.SIGTERM)
         assert deployment.next_event("stopped")["broken"] == {}
     assert not any(line.startswith("s-") for line in deployment.transcript)
+
+
+def test_a_new_process_of_a_hot_restart_takes_over_a_list_without_servers(tmp_path: Path) -> None:
+    """Not the list of its file, whose servers have left."""
+    settings = config.decode_config(Deployment(tmp_path, 2).configuration)
+    server_list = ServerList(["a"], lambda born: 0)
+    assert len(running.initial_list(server_list, settings, None)[0].entries) == 2
+    handover = SimpleNamespace(known_list={"seq": 2, "whole": True, "hosts": []})
+    update, raw = running.initial_list(server_list, settings, handover)  # type: ignore[arg-type]
+    assert update.whole and update.version == 2 and not update.entries and raw is handover.known_list
