--- a/pumicepath/balancer.py
+++ b/pumicepath/balancer.py
@@ -740,10 +740,14 @@
                 self.reset_server(now, index, max(self.started_at[index], self.returned_at.get(server, 0)))
         self.update_ready()
         if out != was_out:
-            name = self.names[index] if index >= 0 else str(server)
-            self.callbacks.log(f"server {name} {'out' if out else 'back'} by hand")
+            self.callbacks.log(f"server {self.server_name(server)} {'out' if out else 'back'} by hand")
         return True
 
+    def server_name(self, server: int) -> str:
+        """Return a server's name, or its id if it is not listed."""
+        index = self.index_by_id.get(server, -1)
+        return self.names[index] if index >= 0 else str(server)
+
     def server_counts(self) -> tuple[int, int]:
         """Return the number of listed servers, and of those that operators or breakers keep from use."""
         listed = [
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -17,6 +17,7 @@
 from ..http1.messages import MalformedMessageError, Request
 from ..http1.parsing import MAX_BODY_BYTES, MAX_HEAD_BYTES, START, RequestParser
 from . import answers, arrival, clock
+from .decision_log import CloseReason, Decision, RefusalReason
 from .dispatch import Dispatcher
 from .exchange import CLIENT_CHECK_AFTER_US, Exchange, UploadError
 from .sending_rate import SendingRate
@@ -38,6 +39,14 @@
 # shut down, and a request that had already arrived by then is still served; DISCARDING: the request was
 # answered before its body had come, and the rest of that is dropped.
 FRESH, PARTIAL, BUSY, IDLE, CLOSING, DRAINING, DISCARDING = range(7)
+# Why a connection is closed that has been in a state for too long.
+EXPIRY_REASONS = {
+    FRESH: CloseReason.SILENT,
+    PARTIAL: CloseReason.UNFINISHED,
+    IDLE: CloseReason.IDLE,
+    CLOSING: CloseReason.LINGERING,
+    DISCARDING: CloseReason.LINGERING,
+}
 
 
 class ClientOwner(Protocol):
@@ -77,6 +86,7 @@
         self.upload: Upload | None = None
         self.sending_rate = SendingRate(now)  # of an incomplete request
         self.evicted = False  # it had stalled within a request, and its place was needed
+        self.close_reason: CloseReason | None = None  # the first that was given
         self.holds_slot = False  # of the admission gate
         self.answered = threading.Event()
         self.state_lock = threading.Lock()
@@ -100,13 +110,20 @@
             ):
                 pass  # close() with unread bytes sends a reset, which could destroy the answer in transit
         except OSError:
-            pass  # the client closed or reset the connection
+            self.note_close(CloseReason.BROKEN)  # the client reset the connection
         except Exception as error:  # must end this connection only
             self.owner.dispatcher.events.event("fault", text=f"{type(error).__name__}: {error}")
+            self.note_close(CloseReason.FAULT)
         finally:
             self.release_slot()
             self.owner.remove(self)
             self.sock.close()
+            reason = self.close_reason or CloseReason.CLIENT_CLOSED
+            self.owner.dispatcher.decisions.note(Decision.CLOSED, reason)
+
+    def note_close(self, reason: CloseReason) -> None:
+        """Note why the connection ends; the first reason counts."""
+        self.close_reason = self.close_reason or reason
 
     def read_requests(self) -> None:
         """Read and serve requests until the connection is to be closed."""
@@ -225,6 +242,7 @@
         if self.holds_slot:
             return False
         parser.ring.consume(size)
+        dispatcher.decisions.note(Decision.REFUSED, RefusalReason.ADMISSION)
         self.class_name = name
         self.keep_alive = not self.draining
         self.answer(
@@ -299,6 +317,7 @@
             # All connections that the limits allow are in use.  Nothing was sent to a server, so a retry is
             # safe.  The connection stays open: a new one would cost more than this answer.
             self.owner.bad_requests["no room"] += 1
+            dispatcher.decisions.note(Decision.REFUSED, RefusalReason.NO_ROOM, params.trace_id)
             self.answer(
                 answers.rejected(dispatcher.balancer.fixed_retry_after(class_states[params.request_class])),
                 not dispatcher.closes_connections(),
@@ -314,6 +333,7 @@
                 typical_latency,
             )
             if not self.holds_slot:
+                dispatcher.decisions.note(Decision.REFUSED, RefusalReason.ADMISSION, params.trace_id)
                 self.answer(
                     answers.rejected(dispatcher.admission_gate.queue.retry_after(params.request_class)),
                     not dispatcher.closes_connections(),
@@ -351,6 +371,8 @@
         """Answer a malformed request; after several in a row the connection is closed."""
         self.owner.bad_requests[str(error)] += 1
         self.consecutive_errors += 1
+        if not keep_alive or self.consecutive_errors >= MAX_CONSECUTIVE_ERRORS:
+            self.note_close(CloseReason.BAD_REQUEST)
         # A client that repeats the same malformed request at once would otherwise keep a core busy.
         self.answer(
             answers.text_answer(error.status, str(error)),
@@ -393,6 +415,7 @@
         """
         self.keep_alive = False
         self.status = 502
+        self.note_close(CloseReason.ANSWER_BROKEN_OFF)
         self.finish(self.until_close)
 
     def write(self, data: bytes) -> bool:
@@ -402,6 +425,7 @@
             self.writer.write(data, self.release_slot)
         except OSError:
             self.keep_alive = False  # the client left or does not read: the response is incomplete
+            self.note_close(CloseReason.NOT_READ)
             return False
         return True
 
@@ -412,6 +436,7 @@
             self.owner.dispatcher.metrics.submission_finished(self.class_name, self.status)
             self.class_name = ""
         if not self.keep_alive:
+            self.note_close(CloseReason.ANSWERED)
             self.set_state(CLOSING)
             if reset:
                 with suppress(OSError):
@@ -441,6 +466,8 @@
                 return False
             self.state = DRAINING if state in (FRESH, IDLE) else CLOSING
             self.state_since = self.received_after = clock.now()
+        is_leaving = self.owner.dispatcher.closes_connections()
+        self.note_close(CloseReason.DRAINING if is_leaving else EXPIRY_REASONS[state])
         if state == PARTIAL:
             self.owner.bad_requests["unfinished"] += 1
             timeout_answer = answers.text_answer(408, "unfinished")
@@ -466,6 +493,7 @@
             if not is_reading and self.has_unread_bytes():
                 return False
             self.evicted = True
+        self.note_close(CloseReason.STALLED)
         how = socket.SHUT_RDWR if is_reading else socket.SHUT_RD
         self.close_undetectable = arrival.shutdown(self.sock, how)
         return True
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -21,6 +21,7 @@
 from .admission_gate import AdmissionGate
 from .combining_lock import CombiningLock
 from .config import Config
+from .decision_log import Decision, DecisionLog, RefusalReason
 from .delay_monitor import DelayMonitor
 from .exchange import Exchange, Hop, UploadDeadline
 from .log import Log
@@ -52,6 +53,7 @@
         self.shutdown_at = NO_DEADLINE_US  # when all admitted requests must be answered, set on SIGTERM
         self.out_of_service = False  # this sidecar, by an operator
         self.metrics = Metrics()
+        self.decisions = DecisionLog(self.metrics)
         self.config_loads = self.config_failures = 0
         self.pool = Pool(self, config, log)
         self.streaming: set[int] = set()  # exchanges whose answer is being streamed, by number
@@ -291,9 +293,12 @@
         if hop.ended:
             return
         hop.ended = True
+        hop.outcome = outcome
         if hop.connection.hop is hop:
             hop.connection.close()
         exchange = hop.exchange
+        if outcome != Outcome.OK:
+            self.note_attempt(Decision.ENDED, outcome, exchange, hop.server)
         if exchange.submission is not None:
             # Measured up to when the kernel received the last bytes: the server is not charged for the time
             # that our threads took to read them.
@@ -400,6 +405,8 @@
         exchange = self.exchanges[submission]
         now = clock.now()
         ends_at = min(exchange.deadline_at, now + timeout) if timeout > 0 else exchange.deadline_at
+        if exchange.hops:
+            self.note_attempt(Decision.RETRIED, exchange.hops[-1].outcome, exchange, server)
         hop = Hop(exchange, len(exchange.hops), server, now, ends_at)
         exchange.hops.append(hop)
         hop.connection = self.pool.connection_for(now, hop)
@@ -409,7 +416,17 @@
 
     def reject(self, submission: int, retry_in: int) -> None:
         """Answer 503 with the time after which the client may retry, in microseconds."""
-        self.answer(self.exchanges[submission], answers.rejected(retry_in))
+        exchange = self.exchanges[submission]
+        if exchange.hops:
+            self.note_attempt(Decision.REFUSED, exchange.hops[-1].outcome, exchange, exchange.hops[-1].server)
+        else:
+            self.decisions.note(Decision.REFUSED, RefusalReason.NO_SERVER, exchange.trace_id)
+        self.answer(exchange, answers.rejected(retry_in))
+
+    def note_attempt(self, what: Decision, outcome: Outcome | None, exchange: Exchange, server: int) -> None:
+        """Note a decision on an attempt; `outcome`: of the last one, None if that is still in flight."""
+        why = outcome.name.lower() if outcome is not None else "in_flight"
+        self.decisions.note(what, why, exchange.trace_id, self.balancer.server_name(server))
 
     def fail(self, submission: int) -> None:
         """Answer 502: the submission may have run at a server, and no further hop is allowed."""
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -271,6 +271,7 @@
         "connection",
         "ended",
         "cancelled",
+        "outcome",
     )
 
     def __init__(self, exchange: Exchange, number: int, server: int, started_at: int, ends_at: int) -> None:
@@ -283,6 +284,7 @@
         self.connection: HopConnection
         self.ended = False
         self.cancelled = False
+        self.outcome: Outcome | None = None  # once it has ended
 
     def on_timer(self, now: int) -> None:
         """End the hop at its time-out, where the balancer sets one."""
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -333,6 +333,7 @@
             if counts:
                 self.dispatcher.events.event(event, counts=dict(counts))
                 counts.clear()
+        self.dispatcher.decisions.report(self.dispatcher.events.event)
         self.dispatcher.set_timer(now + 1_000_000, self)
 
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -365,7 +365,9 @@
             events = property(lambda self: self)
             pool = Clients
             metrics = events
+            decisions = events
             def apply_pending(self): pass
+            def report(self, log_event): pass
             def event(self, event, **figures): print(event, figures)
             def set_timer(self, at, handler): print("again at", at)
         reporter = ProblemReporter(Dispatcher(), Clients())
@@ -390,6 +392,9 @@
         self.events = self.pool = self
         self.addresses: dict = {}
 
+    def closes_connections(self) -> bool:
+        return False
+
     def update_servers(self, kind, update, elapsed=0) -> None:
         self.calls.append((kind.name, len(update.entries)))
         self.listed_event.release()
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -119,6 +119,9 @@
         raw = {**Deployment(folder, 0).configuration, "limits": limits}
         self.active_config = (config.decode_config(raw), ())
 
+    def closes_connections(self) -> bool:
+        return False
+
 
 def test_where_places_are_scarce_clients_that_stopped_make_way_and_slow_ones_stay(tmp_path: Path) -> None:
     slow = [(PARTIAL, 100_000, 0), (PARTIAL, 900_000, 500_000), (BUSY, 900_000, 500_000), (BUSY, 250_000, 0)]
