--- /dev/null
+++ b/pumicepath/lab/loopback/memory_trial.py
@@ -0,0 +1,101 @@
+"""One sidecar process with many clients that misuse it: its peak memory, and what honest clients got."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from .commanded_server import CommandedServer, RunLog
+from .honest_clients import HonestClient, HonestRequest, Served
+from .scripted import Deployment
+
+SERVERS = 4
+HONEST_CLIENTS = 4
+HONEST_PAUSE_S = 0.1
+SLOW_SERVER_PAUSE_S = 0.1
+SETTLE_S = 1.0
+KB_PER_MB = 1024
+
+
+@dataclass(frozen=True)
+class MemoryTrial:
+    """What is run; `form` names a behaviour of `hostile_clients`, `expires_ms` is for honest requests."""
+
+    form: str
+    memory_mb: int = 64
+    clients: int = 250
+    seconds: float = 6.0
+    seed: int = 1
+    expires_ms: int = 1000
+    descriptors: int = 1024
+
+
+@dataclass
+class MemoryTrialResult:
+    """Memory in MB (`peak_mb` is infinite if the process ended), connections made, and honest requests."""
+
+    start_mb: float
+    peak_mb: float
+    connections: int
+    served: Served
+
+
+def peak_mb(pid: int) -> float:
+    """Return the highest resident memory of a process so far."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    peak_kb = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM"))
+    return peak_kb / KB_PER_MB
+
+
+def deployment_with_servers(folder: Path, log: RunLog, count: int, read_pause_s: float = 0.0) -> Deployment:
+    """Return a deployment whose servers do what requests tell them; its file is not written yet."""
+    deployment = Deployment(folder, 0)
+    servers = [CommandedServer(f"s-{at}", log, read_pause_s) for at in range(count)]
+    deployment.servers = servers  # type: ignore[assignment]
+    deployment.configuration["known"] = deployment.list_document(1, True, "active")
+    return deployment
+
+
+def honest_requests(expires_ms: int) -> list[HonestRequest]:
+    """What the honest clients send."""
+    return [
+        HonestRequest("read", expires_ms, 0, 100),
+        HonestRequest("once", expires_ms, 500, 2000),
+        HonestRequest("read", expires_ms, 0, 20_000),
+    ]
+
+
+def run_hostile_clients(trial: MemoryTrial, address: tuple[str, int]) -> int:
+    """Run the bad clients in a process of their own; returns how many connections they made."""
+    command = [sys.executable, "-m", "pumicepath.lab.loopback.hostile_clients", f"{address[0]}:{address[1]}"]
+    command += [trial.form, str(trial.clients), str(trial.seconds), str(trial.seed)]
+    result = subprocess.run(command, capture_output=True, text=True, check=True)
+    return int(result.stdout)
+
+
+def run_memory_trial(trial: MemoryTrial, folder: Path) -> MemoryTrialResult:
+    """Run a new sidecar against one form of misuse."""
+    read_pause_s = SLOW_SERVER_PAUSE_S if "uploads" in trial.form else 0.0
+    deployment = deployment_with_servers(folder, RunLog(), SERVERS, read_pause_s)
+    deployment.configuration["limits"] = {"memory_mb": trial.memory_mb, "sockets": trial.descriptors}
+    deployment.write_configuration()
+    with deployment.running():
+        pid = deployment.process.pid
+        start = peak_mb(pid)
+        served, stop = Served(), threading.Event()
+        requests = honest_requests(trial.expires_ms)
+        honest = [
+            HonestClient(deployment.address, requests, HONEST_PAUSE_S, f"{trial.seed}/{at}", stop, served)
+            for at in range(HONEST_CLIENTS)
+        ]
+        connections = run_hostile_clients(trial, deployment.address)
+        time.sleep(SETTLE_S)
+        stop.set()
+        for client in honest:
+            client.thread.join()
+        peak = peak_mb(pid) if deployment.process.poll() is None else float("inf")
+    return MemoryTrialResult(start, peak, connections, served)
