Final answers: a thread that serves all never waits for a client that does not read

What callers saw: beside clients that did not read their answers, others got theirs late or never. Cause: the answer to a request whose time is over is written by the timer thread, and where the client's buffers are full that write waited for up to 10 s; all timers, so all other final answers, waited with it. Class of fault: a wait for one client in a thread that others depend on.

Evidence: the new test (a client with full buffers, its request and another client's at servers that hang) fails on: the other client has no answer 0.5 s past its time. It passes now.

Change: a thread other than the connection's own writes without blocking, and leaves what the client does not take to the connection's thread, which waits for the answer anyway. Searched for the same elsewhere: log and shutdown calls do not block, a streamed answer is written by the connection's own thread, relays use one loop without blocking writes.

--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -102,11 +102,14 @@
         self.state_lock = threading.Lock()
         self.writer = SocketWriter(sock)
         self.memory = Reservation(owner.dispatcher.memory, MemoryKind.REQUESTS)
+        self.thread_id = 0  # of its own thread
+        self.unsent: list[bytes] = []  # of the answer, left to that thread by another one
 
     # -- reading, by the connection's own thread
 
     def run(self) -> None:
         """Serve the connection until it ends, then close it."""
+        self.thread_id = threading.get_ident()
         try:
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             # A client that does not read its response must not block the thread that writes it for ever.
@@ -341,6 +344,7 @@
             self.set_state(CLOSING)
         else:
             self.answered.wait()  # set by the timer thread if the deadline has passed
+        self.write_unsent()
 
     def start_submission(self, request: Request, received_at: int) -> Exchange | None:
         """Submit a request, its first hop still to be run; None if the client was answered or has left."""
@@ -431,15 +435,24 @@
     # -- answering, by the thread that ended the submission
 
     def answer(self, answer: answers.Answer, keep_alive: bool) -> None:
-        """Write the final answer and finish the request."""
+        """Write the final answer and finish the request.
+
+        A thread other than the connection's own never waits for the client: it serves others too, and leaves
+        what the client does not take at once to the connection's thread.
+        """
         self.keep_alive = keep_alive and self.keep_alive
         self.status = answer.status
         body = answer.body
         parts = [writing.response_head(answer.status, answer.headers, len(body), self.keep_alive)]
         if not self.head_only:
             parts.append(body)
-        self.write(parts)
-        self.finish()
+        if threading.get_ident() == self.thread_id:
+            self.write(parts)
+            self.finish()
+        elif self.write_now(parts):
+            self.finish()
+        else:
+            self.answered.set()
 
     def start_response(self, answer: answers.Answer, length: int, keep_alive: bool) -> None:
         """Write the head of a streamed response; `write_body` or `abort_response` must follow."""
@@ -475,11 +488,26 @@
             return False
         return True
 
+    def write_now(self, parts: Sequence[bytes]) -> bool:
+        """Write what the client takes at once, and leave the rest in `unsent`; whether nothing is left."""
+        try:
+            self.unsent = [bytes(rest) for rest in self.writer.write_now(parts)]
+        except OSError:
+            self.note_not_read()
+        return not self.unsent
+
     def note_not_read(self) -> None:
         """Note that the client left or does not read: the response is incomplete."""
         self.keep_alive = False
         self.note_close(CloseReason.NOT_READ)
 
+    def write_unsent(self) -> None:
+        """Write what another thread has left of the answer, and finish the request."""
+        if self.unsent:
+            unsent, self.unsent = self.unsent, []
+            self.write(unsent)
+            self.finish()
+
     def finish(self, reset: bool = False) -> None:
         """Count the answer, shut the connection down unless it is kept alive, and wake its thread."""
         if self.class_name:
--- /dev/null
+++ b/tests/test_bulkheads.py
@@ -0,0 +1,60 @@
+"""Clients that keep a process busy, or do not read, delay nobody else (report 000ac8)."""
+
+from __future__ import annotations
+
+import socket
+import time
+from contextlib import suppress
+from pathlib import Path
+
+from pumicepath.http1.parsing import ResponseParser
+from pumicepath.lab.loopback.scripted import http_response, read_message
+from pumicepath.sidecar.servers import start_thread
+
+from .rig import Rig, read_status, wait_until
+
+UP = b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def connect(rig: Rig) -> socket.socket:
+    """Connect a client, and start the sidecar's thread for it."""
+    client_sock, client = rig.connect()
+    start_thread(client.run)
+    return client_sock
+
+
+def fill_buffers(sock: socket.socket) -> None:
+    """Write until neither this side's buffer nor the other's takes any more."""
+    sock.setblocking(False)
+    full_checks = 0
+    while full_checks < 20:
+        full_checks += 1
+        with suppress(BlockingIOError):
+            while sock.send(bytes(4096)):
+                full_checks = 0
+        time.sleep(0.005)
+    sock.setblocking(True)
+
+
+def assert_served(rig: Rig, client_sock: socket.socket, name: str) -> None:
+    rig.deployment.script.put(http_response(200, name))
+    client_sock.sendall(rig.request(name))
+    response = read_message(client_sock, ResponseParser())
+    assert response is not None and response.body.decode() == name
+
+
+# The thread of the timers wrote final answers itself, and waited for clients that did not read theirs.
+def test_a_client_that_does_not_read_delays_no_other_clients_final_answer(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, servers=2)
+    deaf_sock, deaf = rig.connect()
+    fill_buffers(deaf.sock)
+    start_thread(deaf.run)
+    other = connect(rig)
+    for _ in range(2):
+        rig.deployment.script.put("wait")
+    deaf_sock.sendall(rig.request("deaf", "once", 300))
+    wait_until(lambda: len(rig.deployment.transcript) == 1)
+    other.sendall(rig.request("other", "once", 600))
+    other.settimeout(0.6 + 0.5)  # its time, and what an answer may be late
+    assert read_status(other) == 502
+    assert deaf.answered.is_set() and (deaf.unsent or deaf.writer.blocked_since)
