Bulkheads: long bodies, and clients that need no server, do not delay short requests

Cause: hundreds of threads that each parse or copy a little compete for the interpreter, and a short request needs it ten times or so.

Change: sidecar/bulkhead.py: one thread at a time parses and passes on bodies beyond what came with their head, in both directions, and one at a time answers clients that have sent more than two requests in a row that need no server. A thread leaves before it blocks. Short requests never enter either.

--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -18,6 +18,7 @@
 from ..http1.messages import MalformedMessageError, Request
 from ..http1.parsing import START, RequestParser
 from . import answers, arrival, clock
+from .bulkhead import BulkheadEntry
 from .decision_log import CloseReason, Decision, RefusalReason
 from .dispatch import Dispatcher
 from .exchange import CLIENT_CHECK_AFTER_US, Exchange, UploadError
@@ -38,6 +39,7 @@
 MAX_CONSECUTIVE_ERRORS = 3  # after these the connection is closed
 MEMORY_WAIT_US = 100_000  # for memory, until a request is refused for the lack of it
 MEMORY_POLL_S = 0.01
+FREE_LOCAL_ANSWERS = 2  # in a row, before a client's next ones are done one at a time with others'
 # States of a connection.  FRESH: nothing received yet; PARTIAL: part of a request received; BUSY: a request
 # is being served; CLOSING: no further request is read; DRAINING: it was idle or fresh when its read side was
 # shut down, and a request that had already arrived by then is still served; DISCARDING: the request was
@@ -102,6 +104,9 @@
         self.state_lock = threading.Lock()
         self.writer = SocketWriter(sock)
         self.memory = Reservation(owner.dispatcher.memory, MemoryKind.REQUESTS)
+        self.transfers = BulkheadEntry(owner.dispatcher.bulkheads.transfers)
+        self.local_work = BulkheadEntry(owner.dispatcher.bulkheads.local_answers)
+        self.local_answers = 0  # in a row, to requests that no server was needed for
         self.thread_id = 0  # of its own thread
         self.unsent: list[bytes] = []  # of the answer, left to that thread by another one
 
@@ -129,6 +134,7 @@
             self.owner.dispatcher.events.event("fault", text=f"{type(error).__name__}: {error}")
             self.note_close(CloseReason.FAULT)
         finally:
+            self.leave_bulkheads()
             self.release_slot()
             self.memory.release()
             self.owner.remove(self)
@@ -147,6 +153,10 @@
         continue_sent = False
         received_at = 0
         while True:
+            if parser.state != START:
+                self.transfers.enter()
+            elif self.local_answers >= FREE_LOCAL_ANSWERS:
+                self.local_work.enter()
             try:
                 request = parser.next()
                 if request is None and parser.is_long():
@@ -156,6 +166,7 @@
                 if self.set_state(BUSY):
                     self.send_error(error, False)
                 return
+            self.transfers.leave()
             if request is not None:
                 if not self.set_state(BUSY):
                     return
@@ -164,6 +175,7 @@
                 if self.upload is not None and not continue_sent and parser.awaits_continue():
                     self.sock.sendall(writing.CONTINUE)
                 self.serve(request, received_at)
+                self.local_work.leave()
                 if self.upload is not None:
                     self.finish_upload(self.upload)
                     self.upload = None
@@ -175,6 +187,7 @@
                     return
                 continue
             self.release_slot()  # never held while waiting for the client's bytes
+            self.local_work.leave()
             if not continue_sent and parser.awaits_continue():
                 continue_sent = True
                 self.sock.sendall(writing.CONTINUE)
@@ -205,6 +218,7 @@
         """Reserve memory for what is read next; waits a moment for it if the limit is reached."""
         if self.memory.resize(needed):
             return True
+        self.leave_bulkheads()
         end = clock.now() + MEMORY_WAIT_US
         while clock.now() < end:
             self.owner.evict_for_memory()
@@ -307,6 +321,16 @@
         self.owner.dispatcher.admission_gate.reenter()
         self.holds_slot = True
 
+    def leave_bulkheads(self) -> None:
+        """Let other threads go on with what this one did one at a time with them."""
+        self.transfers.leave()
+        self.local_work.leave()
+
+    def before_blocking(self) -> None:
+        """Give up what others wait for, as a write is about to wait for the client."""
+        self.leave_bulkheads()
+        self.release_slot()
+
     def release_slot(self, delay: int = 0) -> None:
         """Release the slot, if it is held; `delay`: how long a received response waited to be passed on."""
         if not self.holds_slot:
@@ -320,12 +344,14 @@
         """Run a request up to its final answer."""
         dispatcher = self.owner.dispatcher
         self.requests_served += 1
+        self.local_answers += 1
         try:
             exchange = self.start_submission(request, received_at)
         finally:
             self.release_slot()
         if exchange is None:
             return
+        self.local_answers = 0
         try:
             dispatcher.run_hops(exchange)
         except Exception:
@@ -376,6 +402,7 @@
                 not dispatcher.closes_connections(),
             )
             return None
+        self.local_work.leave()
         if not self.holds_slot:
             typical_latency = class_states[params.request_class].typical_latency
             self.holds_slot = dispatcher.admission_gate.enter(
@@ -482,7 +509,7 @@
     def write(self, parts: Sequence[bytes]) -> bool:
         """Write all of the parts; False if the connection broke or timed out."""
         try:
-            self.writer.write(parts, self.release_slot)
+            self.writer.write(parts, self.before_blocking)
         except OSError:
             self.note_not_read()
             return False
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -19,6 +19,7 @@
 from ..invariants import check_invariant
 from . import answers, clock
 from .admission_gate import AdmissionGate
+from .bulkhead import Bulkheads
 from .combining_lock import CombiningLock
 from .config import ACCEPT_HEADROOM, BASE_MEMORY_BYTES, Config
 from .decision_log import Decision, DecisionLog, RefusalReason
@@ -62,6 +63,7 @@
             config.max_client_connections + ACCEPT_HEADROOM,
             config.max_server_connections,
         )
+        self.bulkheads = Bulkheads()
         self.memory = MemoryAccount(self.memory_budget.for_messages(1))
         self.pool = Pool(self, config, log)
         self.streaming: set[int] = set()  # exchanges whose answer is being streamed, by number
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -12,6 +12,7 @@
 from ..interface import Effect, Outcome, TimerHandler
 from ..invariants import check_invariant
 from . import answers
+from .bulkhead import BulkheadEntry
 from .memory_account import MemoryAccount, MemoryKind, Reservation
 
 CLIENT_CHECK_AFTER_US = 5_000  # before this, a client is assumed to be still there
@@ -20,6 +21,8 @@
 class ExchangeClient(Protocol):
     """The client's connection, as seen by its exchange."""
 
+    transfers: BulkheadEntry
+
     def answer(self, answer: answers.Answer, keep_alive: bool) -> None:
         """Write the final answer."""
 
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -18,7 +18,7 @@
 from ..discovery.server_list import Address, ServerListUpdate
 from ..http1 import writing
 from ..http1.messages import MalformedMessageError, Response
-from ..http1.parsing import ResponseParser
+from ..http1.parsing import START, ResponseParser
 from ..interface import Outcome, ServerState
 from . import arrival, clock
 from .config import Config
@@ -153,7 +153,7 @@
             # While this thread was connecting, the server may have been drained or taken out of service.
             raise ConnectionAbortedError
         head = request_head(hop, self.instance.address if self.instance else Address("", 0))
-        send_all(self.sock, (head, hop.exchange.request.body))
+        send_all(self.sock, (head, hop.exchange.request.body), hop.exchange.client.transfers.leave)
         if hop.exchange.upload is not None:
             self.stream_body(hop, hop.exchange.upload)
         self.pool.owner.hop_sent()
@@ -171,7 +171,7 @@
             if self.closed or hop.ended:
                 raise ConnectionAbortedError
             parts = writing.chunk(piece, last) if upload.length == writing.CHUNKED else (piece,)
-            send_all(self.sock, parts)
+            send_all(self.sock, parts, hop.exchange.client.transfers.leave)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, NO_TIMEOUT)
 
     def read_response(self, hop: Hop) -> tuple[Outcome, Response | None, bool]:
@@ -183,6 +183,7 @@
         assert sock is not None
         parser.method = hop.exchange.request.method
         client = hop.exchange.client
+        transfers = client.transfers
         streaming = False
         try:
             while True:
@@ -200,6 +201,8 @@
                     return Outcome.RESET, None, False
                 if not count:
                     parser.end_input()
+                if parser.state != START:
+                    transfers.enter()
                 response = parser.next()
                 if response is not None:
                     # Unexpected bytes after a valid response make only the connection unusable.
@@ -219,7 +222,9 @@
                         raise MalformedMessageError(502, "answer too large to be held")
                 if streaming and not client.write_body(parser.take_body(), False):
                     return Outcome.CANCELLED, None, False
+                transfers.leave()
         finally:
+            transfers.leave()
             if streaming:
                 client.abort_response()
 
--- a/pumicepath/sidecar/socket_writer.py
+++ b/pumicepath/sidecar/socket_writer.py
@@ -40,10 +40,12 @@
             send_first(sock, remaining, socket.MSG_DONTWAIT)
 
 
-def send_all(sock: socket.socket, parts: Sequence[bytes]) -> None:
-    """Send all parts, blocking; raises OSError."""
+def send_all(sock: socket.socket, parts: Sequence[bytes], on_block: Callable[[], None]) -> None:
+    """Send all parts, and call `on_block` before blocking; raises OSError."""
     remaining = views_of(parts)
+    send_available(sock, remaining)
     while remaining:
+        on_block()
         send_first(sock, remaining)
 
 
--- a/pumicepath/sidecar/upload.py
+++ b/pumicepath/sidecar/upload.py
@@ -15,6 +15,7 @@
 from ..http1.parsing import RequestParser
 from . import arrival, clock
 from .body_arrival import BodyArrival, unread_bytes
+from .bulkhead import BulkheadEntry
 from .exchange import UploadError, UploadFailure
 from .memory_account import MemoryKind, Reservation
 from .sending_rate import SendingRate
@@ -31,6 +32,7 @@
     sock: socket.socket
     sending_rate: SendingRate
     memory: Reservation
+    transfers: BulkheadEntry
     evicted: bool  # its upload had stalled, and its place was needed
 
     def release_slot(self) -> None:
@@ -69,6 +71,7 @@
         Raises UploadError if the client breaks the body off or sends too slowly.
         """
         sock = self.client.sock
+        transfers = self.client.transfers
         self.client.release_slot()  # a client that sends slowly must not hold a slot
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, POLL_TIMEOUT)
         try:
@@ -78,7 +81,9 @@
                     self.started = True
                     yield piece, False
                     del piece
+                transfers.leave()
                 self.read_more()
+                transfers.enter()
                 request = self.parser.next()
                 if request is not None:
                     self.started = self.complete = True
@@ -93,6 +98,7 @@
             self.failure = UploadFailure(0, str(error))
             raise UploadError(self.failure) from error
         finally:
+            transfers.leave()
             self.client.sending_rate.pause()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, NO_TIMEOUT)
 
--- a/tests/test_bulkheads.py
+++ b/tests/test_bulkheads.py
@@ -7,8 +7,12 @@
 from contextlib import suppress
 from pathlib import Path
 
+import pytest
+
+from pumicepath.http1 import writing
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import http_response, read_message
+from pumicepath.sidecar.client import FREE_LOCAL_ANSWERS
 from pumicepath.sidecar.servers import start_thread
 
 from .rig import Rig, read_status, wait_until
@@ -43,6 +47,41 @@
     assert response is not None and response.body.decode() == name
 
 
+# Crowds that sent long bodies at full speed kept answers from clients with short requests.
+def test_short_requests_do_not_wait_for_bodies_that_are_being_read(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    sender, other = connect(rig), connect(rig)
+    body = b"x" * 20_000
+    headers = [("Host", "api"), ("X-Qos", "once"), ("X-Trace-Id", "body"), ("X-Expires-In-Ms", "9000")]
+    with rig.dispatcher.bulkheads.transfers:
+        sender.sendall(writing.request("POST", "/body", headers, body))
+        assert_served(rig, other, "short")
+        assert not any("POST" in line for line in rig.deployment.transcript)
+    rig.deployment.script.put(http_response(200, "taken"))
+    response = read_message(sender, ResponseParser())
+    assert response is not None and response.body == b"taken"
+
+
+# One connection with small requests at full speed, as fast as they can be answered.
+def test_requests_that_need_no_server_do_not_delay_those_that_do(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    flood, other = connect(rig), connect(rig)
+    parser = ResponseParser()
+    with rig.dispatcher.bulkheads.local_answers:
+        flood.sendall(UP * (FREE_LOCAL_ANSWERS + 3))
+        for _ in range(FREE_LOCAL_ANSWERS):
+            assert read_message(flood, parser).status == 200
+        assert_served(rig, other, "short")
+        flood.setblocking(False)
+        assert parser.is_idle()
+        with pytest.raises(BlockingIOError):
+            flood.recv(1)
+    flood.settimeout(20)
+    for _ in range(3):
+        assert read_message(flood, parser).status == 200
+    assert_served(rig, flood, "after")
+
+
 # The thread of the timers wrote final answers itself, and waited for clients that did not read theirs.
 def test_a_client_that_does_not_read_delays_no_other_clients_final_answer(tmp_path: Path) -> None:
     rig = Rig(tmp_path, servers=2)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -19,6 +19,7 @@
 from pumicepath.lab.loopback.scripted import Deployment, ScriptedServer, http_response
 from pumicepath.sidecar import clock, config
 from pumicepath.sidecar.admission_gate import AdmissionGate
+from pumicepath.sidecar.bulkhead import Bulkheads
 from pumicepath.sidecar.clients import BUSY, CLOSING, DRAINING, FRESH, IDLE, PARTIAL, Client, Clients
 from pumicepath.sidecar.delay_monitor import DelayMonitor
 from pumicepath.sidecar.dispatch import Dispatcher
@@ -393,6 +394,7 @@
         self.events = self.pool = self
         self.addresses: dict = {}
         self.memory = MemoryAccount(1 << 20)
+        self.bulkheads = Bulkheads()
 
     def closes_connections(self) -> bool:
         return False
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -17,6 +17,7 @@
 from pumicepath.interface import Effect, Outcome, RequestClass
 from pumicepath.lab.loopback.scripted import Deployment, ScriptedServer, http_response, read_message
 from pumicepath.sidecar import clock, upload
+from pumicepath.sidecar.bulkhead import BulkheadEntry, Bulkheads
 from pumicepath.sidecar.exchange import UploadError
 from pumicepath.sidecar.memory_account import MemoryAccount, MemoryKind, Reservation
 from pumicepath.sidecar.sending_rate import MAX_WAITING_US, SendingRate
@@ -226,6 +227,7 @@
         evicted = False
         sending_rate = SendingRate(clock.now())
         memory = Reservation(MemoryAccount(1 << 20), MemoryKind.REQUESTS)
+        transfers = BulkheadEntry(Bulkheads().transfers)
         sock, far = socket.socketpair()
 
         def release_slot(self) -> None: ...
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -10,6 +10,7 @@
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import Deployment, read_message
 from pumicepath.sidecar import clock, config
+from pumicepath.sidecar.bulkhead import Bulkheads
 from pumicepath.sidecar.client import BUSY, CLOSING, DISCARDING, DRAINING, IDLE, PARTIAL, Client
 from pumicepath.sidecar.clients import Clients
 from pumicepath.sidecar.memory_account import MemoryAccount
@@ -115,6 +116,7 @@
 
     out_of_service = False
     memory = MemoryAccount(1 << 20)
+    bulkheads = Bulkheads()
 
     def __init__(self, folder: Path) -> None:
         limits = {"memory_mb": 192, "sockets": 60}
