Places: slow readers and clients that need no server make way where they are scarce

What callers saw: 250 clients, more than there are places for, that asked /up at full speed, or read 60 kB answers at 20 kB/s, kept places for as long as they liked; 4 of 167 honest requests beside them came late. Cause: each byte that a reader took had it counted as new, and a connection that is never idle was never ended.

Change: waiting for a reader fills a leaky bucket, as for a sender; at three seconds it makes way where places are scarce. Where no connection is accepted any more, the answer to a client that has sent more than two requests in a row that need no server closes its connection. The fixed part of a client's connection is planned with 64 KiB: up to 15.6 MB were measured beyond the account with uploads that stop, 64 MB and 194 connections.

The crowds of all twelve forms are tests now, with the account checked against the process's growth.

--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -382,7 +382,7 @@
                 self.answer(answers.OUT_OF_SERVICE, False)
             else:
                 ready = answers.READY if dispatcher.balancer.ready else answers.NOT_READY
-                self.answer(ready, True)
+                self.answer(ready, not self.is_in_the_way())
             return None
         config, class_states = dispatcher.active_config
         name = request.header(CLASS_HEADER)
@@ -399,7 +399,7 @@
             dispatcher.decisions.note(Decision.REFUSED, RefusalReason.NO_ROOM, params.trace_id)
             self.answer(
                 answers.rejected(dispatcher.balancer.fixed_retry_after(class_states[params.request_class])),
-                not dispatcher.closes_connections(),
+                not dispatcher.closes_connections() and not self.is_in_the_way(),
             )
             return None
         self.local_work.leave()
@@ -447,6 +447,10 @@
         self.send_error(MalformedMessageError(409, "id of a request that is open, or was just now"), True)
         return None
 
+    def is_in_the_way(self) -> bool:
+        """Whether others wait for the place of this client, none of whose requests goes to a server."""
+        return self.local_answers > FREE_LOCAL_ANSWERS and self.owner.is_full()
+
     def send_error(self, error: MalformedMessageError, keep_alive: bool) -> None:
         """Answer a malformed request; after several in a row the connection is closed."""
         self.owner.bad_requests[str(error)] += 1
--- a/pumicepath/sidecar/memory_account.py
+++ b/pumicepath/sidecar/memory_account.py
@@ -17,7 +17,7 @@
 
 ALLOWANCE_BYTES = 8 * 1024  # of each connection in each direction
 STEP_BYTES = 4 * 1024  # reservations are rounded up to this
-CLIENT_CONNECTION_BYTES = 48 * 1024  # with its thread and both allowances
+CLIENT_CONNECTION_BYTES = 64 * 1024  # with its thread, both allowances and what the allocator loses
 SERVER_CONNECTION_BYTES = 24 * 1024  # with its allowance
 MIN_LIMIT_BYTES = 1 << 20  # below this not even one long message could be passed on
 STATM = Path("/proc/self/statm")
--- a/pumicepath/sidecar/socket_writer.py
+++ b/pumicepath/sidecar/socket_writer.py
@@ -11,6 +11,7 @@
 from contextlib import suppress
 
 from . import clock
+from .sending_rate import MIN_BYTES_PER_US
 
 MAX_JOINED_BYTES = 4096  # up to this a copy costs less than another system call
 
@@ -50,11 +51,16 @@
 
 
 class SocketWriter:
-    """Writes to a client; one thread at a time writes, others may read `blocked_since`."""
+    """Writes to a client; one thread at a time writes, others may read `blocked_since`.
+
+    Waiting for the client to read fills a leaky bucket, which the bytes that it takes drain: a client that
+    reads a little now and then keeps a write waiting almost as long as one that reads nothing.
+    """
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
-        self.blocked_since = 0  # 0 unless a write waits for the client to read
+        self.waited = 0.0  # in the bucket
+        self.blocked_since = 0  # 0 unless a write waits for the client to read, else earlier by the bucket
 
     def write(self, parts: Sequence[bytes], on_block: Callable[[], None]) -> None:
         """Write all parts; raises OSError if the connection breaks or the client does not read.
@@ -64,11 +70,14 @@
         remaining = self.write_now(parts)
         while remaining:
             on_block()
-            self.blocked_since = clock.now()
+            began_at = clock.now()
+            self.blocked_since = began_at - int(self.waited)
             try:
-                send_first(self.sock, remaining)
+                sent = send_first(self.sock, remaining)
             finally:
                 self.blocked_since = 0
+            pause = clock.now() - began_at
+            self.waited = max(0.0, self.waited + pause - sent / MIN_BYTES_PER_US)
 
     def write_now(self, parts: Sequence[bytes]) -> deque[memoryview]:
         """Write what the socket accepts without blocking, and return the rest; raises OSError."""
--- a/tests/test_bulkheads.py
+++ b/tests/test_bulkheads.py
@@ -13,6 +13,7 @@
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import http_response, read_message
 from pumicepath.sidecar.client import FREE_LOCAL_ANSWERS
+from pumicepath.sidecar.config import ACCEPT_HEADROOM
 from pumicepath.sidecar.servers import start_thread
 
 from .rig import Rig, read_status, wait_until
@@ -97,3 +98,16 @@
     other.settimeout(0.6 + 0.5)  # its time, and what an answer may be late
     assert read_status(other) == 502
     assert deaf.answered.is_set() and (deaf.unsent or deaf.writer.blocked_since)
+
+
+# Clients that only asked /up held all places for as long as they went on, and others were not accepted.
+def test_where_places_are_scarce_a_client_that_needs_no_server_gives_up_its_place(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    flood = connect(rig)
+    parser = ResponseParser()
+    flood.sendall(UP * (FREE_LOCAL_ANSWERS + 1))
+    answers = [read_message(flood, parser) for _ in range(FREE_LOCAL_ANSWERS + 1)]
+    assert all(answer.keeps_alive() for answer in answers)
+    rig.clients.connection_limit = 1 - ACCEPT_HEADROOM
+    flood.sendall(UP)
+    assert not read_message(flood, parser).keeps_alive() and flood.recv(1) == b""
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -4,10 +4,14 @@
 
 from pathlib import Path
 
+import pytest
+
 from pumicepath.http1 import writing
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.hostile_clients import BEHAVIOURS
+from pumicepath.lab.loopback.memory_trial import MemoryTrial, run_memory_trial
 from pumicepath.lab.loopback.scripted import http_response, read_message
+from pumicepath.sidecar.config import ACCEPT_HEADROOM, SPARE_MEMORY_FRACTION
 from pumicepath.sidecar.memory_account import (
     ALLOWANCE_BYTES,
     CLIENT_CONNECTION_BYTES,
@@ -128,3 +132,23 @@
 def test_every_form_of_misuse_is_measured() -> None:
     assert set(KINDS) == set(BEHAVIOURS)
     assert {kind for kind in KINDS.values() if kind is not None} == set(MemoryKind)
+
+
+# Processes passed their limit, and honest clients got no answer, beside a crowd (report 000ac8).
+@pytest.mark.parametrize("form", BEHAVIOURS)
+def test_a_crowd_neither_takes_a_process_past_its_limit_nor_keeps_answers_from_honest_clients(
+    form: str, tmp_path: Path
+) -> None:
+    trial = MemoryTrial(form, memory_mb=MEMORY_MB, clients=250, seconds=3.0, expires_ms=EXPIRES_MS)
+    result = run_memory_trial(trial, tmp_path)
+    assert result.peak_mb <= trial.memory_mb
+    # What has grown: what the account knows of, a fixed part for each connection, the allocator's share.
+    fixed = (FROM_CLIENTS + ACCEPT_HEADROOM) * CLIENT_CONNECTION_BYTES + TO_SERVERS * SERVER_CONNECTION_BYTES
+    spare = MEMORY_MB * MIB * SPARE_MEMORY_FRACTION
+    accounted = result.metrics["edge_gw.memory_peak"] + fixed + spare
+    assert (result.peak_mb - result.start_mb) * MIB <= accounted
+    kind = KINDS[form]
+    assert kind is None or result.metrics[f"edge_gw.memory_peak.{kind}"] > 0
+    assert result.metrics["edge_gw.memory_held"] == 0
+    assert result.served.lost == 0, result.served
+    assert result.served.outcomes["served"] > 0
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -16,6 +16,7 @@
 from pumicepath.sidecar.memory_account import MemoryAccount
 from pumicepath.sidecar.sending_rate import MIN_BYTES_PER_US, SendingRate
 from pumicepath.sidecar.servers import start_thread
+from pumicepath.sidecar.socket_writer import SocketWriter
 
 from .rig import Rig, read_status, wait_until
 from .test_size import BodyEcho, deployment_of, digest
@@ -216,3 +217,22 @@
         slow.sendall(body[150_000:])
         answer = read_message(slow, ResponseParser())
     assert answer is not None and (answer.status, answer.body.decode()) == (200, digest(body))
+
+
+def test_a_reader_that_takes_a_little_now_and_then_makes_way_like_one_that_takes_nothing() -> None:
+    """Each byte that it took had it counted as new, so that it kept its place for as long as it liked."""
+    near, far = socket.socketpair()
+    near.settimeout(None)
+    near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    far.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    writer = SocketWriter(near)
+    writer.waited = 2.0 * SECOND_US  # by earlier writes
+    start_thread(lambda: writer.write((bytes(200_000),), lambda: None))
+    wait_until(lambda: writer.blocked_since)
+    assert writer.blocked_for(clock.now()) >= 2 * SECOND_US
+    far.settimeout(20)
+    left = 200_000
+    while left:
+        left -= len(far.recv(left))
+    wait_until(lambda: not writer.blocked_since and writer.waited < 2 * SECOND_US)
+    assert writer.blocked_for(clock.now()) == 0
