Policy: an answer that goes on is not taken for broken off as its deadline nears

Cause: each arrival moves the end of the allowed gap (due_at). Submission.on_timer set a further timer only if that end lay before the deadline; else it fell through to the branch for answers that have stopped, recorded a failure of the server and cancelled the hop, though bytes had just come.

Change: an answer has stopped after a second without a byte, or a quarter of the latency target if that is longer; one that has not is left to the deadline. Why it works: the branch is now reached only when due_at has passed.

--- a/pumicepath/balancer.py
+++ b/pumicepath/balancer.py
@@ -18,6 +18,7 @@
 from heapq import heapify, heappop, nsmallest
 
 from .interface import (
+    RESPONSE_STALL_US,
     Callbacks,
     DedupGroup,
     Effect,
@@ -41,7 +42,9 @@
 CROWDED_RATIO = 1.25  # multiple of its fair share of hops in flight from which a server is passed over
 QUEUED_LATENCY_RATIO = 3.0  # a hop that took this multiple of the typical latency counts as queued,
 QUEUED_TARGET_FRACTION = 0.3  # if it also took this fraction of the latency target
-RESPONSE_GAP_FRACTION = 0.25  # of the latency target: the longest wait for more of a response that has begun
+RESPONSE_GAP_FRACTION = (
+    0.25  # of the latency target: the least pause in which a response has stopped
+)
 STALL_LATENCY_RATIO = 1.0  # a hop in flight for this multiple of the typical latency stalls its server,
 STALL_TARGET_FRACTION = 0.1  # if it has also been out for this fraction of the latency target
 SUSPECT_LATENCY_RATIO = 3.0  # after this multiple of the typical latency an answer may be lost on its way,
@@ -318,13 +321,14 @@
         The first call counts as an answer and decides a trial; a break later on still counts as a failure.
         """
         hop = self.hops[hop_number]
-        if hop.in_flight and hop.response_begun:
-            hop.due_at = now + int(RESPONSE_GAP_FRACTION * self.class_state.latency_target)
-        elif hop.in_flight:
+        if not hop.in_flight:
+            return
+        gap = max(RESPONSE_STALL_US, int(RESPONSE_GAP_FRACTION * self.class_state.latency_target))
+        hop.due_at = now + gap
+        if not hop.response_begun:
             self.balancer.record_answer(now, self.class_state, hop, now - hop.sent_at)
             hop.response_begun = True
             hop.is_trial = hop.outcome_recorded = False
-            hop.due_at = now + int(RESPONSE_GAP_FRACTION * self.class_state.latency_target)
             if hop.due_at < self.deadline_at and not self.class_state.request_class.stream:
                 self.balancer.callbacks.set_timer(hop.due_at, self)
 
@@ -370,8 +374,10 @@
             ):
                 hop.suspected_lost = True
                 self.send_hedge(now)
-            elif hop.response_begun and now < hop.due_at < self.deadline_at:
-                balancer.callbacks.set_timer(hop.due_at, self)
+            elif hop.response_begun and now < hop.due_at:
+                # It goes on.  Where it would stop only past the deadline, that one decides.
+                if hop.due_at < self.deadline_at:
+                    balancer.callbacks.set_timer(hop.due_at, self)
             elif hop.response_begun and not self.class_state.request_class.stream:
                 # A response may begin and never end; where the submission may run again, another server
                 # gets it.
--- a/pumicepath/interface.py
+++ b/pumicepath/interface.py
@@ -93,6 +93,10 @@
     kinds: tuple[int, ...] | None = None  # the only kinds of servers that may get it; None: any
 
 
+# Without a byte more for so long, a response that has begun has stopped.
+RESPONSE_STALL_US = 1_000_000
+
+
 @dataclass(frozen=True)
 class Settings:
     """The settings of one sidecar that its decisions depend on."""
