Long answers: what its server goes on giving at the deadline is passed on whole

Answers of known length over 64 KiB were streamed from their head on, shorter ones cut off too.

Cause: the deadline ended every attempt that was not streamed yet, whether or not its server was giving.

Change: the thread that reads an answer wakes 10 ms before the deadline; if bytes came within the last second it passes on what it holds and the rest as it comes, in any framing. The deadline's timer leaves it 0.1 s for that. An answer that stops is ended: at the deadline if it has been silent for a second by then, else 3 s after its last byte (10 s before), so that its client can tell. ResponseStream holds what was spread over read_response.

--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -9,12 +9,13 @@
 from ..balancer import Submission
 from ..http1.messages import Request
 from ..http1.parsing import ResponseParser
-from ..interface import Effect, Outcome, TimerHandler
+from ..interface import RESPONSE_STALL_US, Effect, Outcome, TimerHandler
 from ..invariants import check_invariant
 from . import answers
 from .bulkhead import BulkheadEntry
 from .memory_account import MemoryAccount, MemoryKind, Reservation
 
+STREAM_START_GRACE_US = 100_000  # past the deadline, for the thread of an answer that goes on to pass it on
 CLIENT_CHECK_AFTER_US = 5_000  # before this, a client is assumed to be still there
 
 
@@ -219,6 +220,10 @@
 
     def on_timer(self, now: int) -> None:
         """End all hops at the deadline: this answers for servers that have not responded."""
+        start_by = self.deadline_at + STREAM_START_GRACE_US
+        if now < start_by and any(hop.goes_on(now) for hop in self.hops):
+            self.owner.set_timer(start_by, self)  # its thread passes the answer on from now on
+            return
         for hop in list(self.hops):
             self.owner.end_hop(now, hop, Outcome.TIMEOUT)
         if not check_invariant(self.answered, "no final answer when patience ended"):
@@ -278,6 +283,7 @@
         "cancelled",
         "outcome",
         "memory",
+        "body_begun",
     )
 
     def __init__(self, exchange: Exchange, number: int, server: int, started_at: int, ends_at: int) -> None:
@@ -290,9 +296,14 @@
         self.connection: HopConnection
         self.ended = False
         self.cancelled = False
+        self.body_begun = False  # the head of a success has come, and its body has not ended
         self.outcome: Outcome | None = None  # once it has ended
         self.memory = Reservation(exchange.owner.memory, MemoryKind.ANSWERS)
 
+    def goes_on(self, now: int) -> bool:
+        """Whether the server is giving an answer that could be passed on as it comes."""
+        return self.body_begun and not self.ended and now - self.received_at < RESPONSE_STALL_US
+
     def on_timer(self, now: int) -> None:
         """End the hop at its time-out, where the balancer sets one."""
         self.exchange.owner.end_hop(now, self, Outcome.TIMEOUT)
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -32,7 +32,12 @@
 DECAY = 0.99  # of those counts, each time the idle connections are checked
 MAX_RESPONSE_BYTES = 40 << 20  # larger responses count as malformed
 DIAL_GRACE_US = 5_000  # how long a connect may outlast its hop, which the timers have ended by then
-STALL_TIMEOUT = struct.pack("ll", 10, 0)  # 10 s without progress while streaming a body, as a struct timeval
+STALL_TIMEOUT = struct.pack(
+    "ll", 10, 0
+)  # 10 s, as a struct timeval: a server takes nothing of a body
+STREAM_STALL_TIMEOUT = struct.pack("ll", 3, 0)  # 3 s: it gives nothing of an answer being passed on
+STREAM_LEAD_US = 10_000  # before the deadline, at which an answer that goes on is passed on
+SUCCESS = 200
 NO_TIMEOUT = struct.pack("ll", 0, 0)
 MEMORY_POLL_S = 0.005  # between checks whether more of a response can be held
 
@@ -60,6 +65,7 @@
         self.closed = False
         self.idle_since = 0
         self.bytes_read = 0  # in total
+        self.receive_timeout = NO_TIMEOUT
 
     def close(self) -> None:
         """Make sure that nothing more is sent; a thread that runs a hop on it is woken by an error.
@@ -129,6 +135,7 @@
             stale.close()
         self.parser = ResponseParser(MAX_RESPONSE_BYTES)
         self.idle_since = self.bytes_read = 0
+        self.receive_timeout = NO_TIMEOUT
 
     def connect(self, address: Address, hop: Hop) -> None:
         """Connect, for little longer than the hop may last; raises OSError.
@@ -175,65 +182,90 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, NO_TIMEOUT)
 
     def read_response(self, hop: Hop) -> tuple[Outcome, Response | None, bool]:
-        """Read the response; one too large for the memory limit is streamed to the client as it arrives.
+        """Read the response.
 
-        Raises MalformedMessageError and OSError.
+        One that is too large for the memory limit, or that its server goes on giving at the deadline, is
+        streamed to the client as it arrives.  Raises MalformedMessageError and OSError.
         """
-        sock, parser, owner = self.sock, self.parser, self.pool.owner
-        assert sock is not None
+        assert self.sock is not None
+        parser, client = self.parser, hop.exchange.client
         parser.method = hop.exchange.request.method
-        client = hop.exchange.client
-        transfers = client.transfers
-        streaming = False
+        stream = ResponseStream(self, hop)
         try:
             while True:
-                wanted = parser.wanted_bytes()
-                if not hop.memory.resize(parser.held_bytes(wanted)):
-                    wanted = 0  # less at a time
-                    streaming = streaming or self.start_streaming(hop)
-                    if not streaming:
-                        self.wait_for_memory(hop)
-                count, hop.received_at = arrival.receive(sock, parser.ring.writable(wanted), hop.started_at)
-                parser.ring.commit(count)
-                self.bytes_read += count
+                count = self.receive(hop, stream)
                 if self.closed:
                     # Closed by this process: the end of the data must not be taken for the end of a response.
                     return Outcome.RESET, None, False
                 if not count:
                     parser.end_input()
                 if parser.state != START:
-                    transfers.enter()
+                    client.transfers.enter()
                 response = parser.next()
                 if response is not None:
                     # Unexpected bytes after a valid response make only the connection unusable.
                     reuse = (
                         response.keeps_alive() and not response.until_close and parser.is_idle() and count > 0
                     )
-                    if streaming:
-                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, NO_TIMEOUT)
-                    if streaming and client.write_body(response.body, True):
-                        streaming = False
+                    self.set_receive_timeout(NO_TIMEOUT)
+                    stream.finish(response)
                     return outcome_of(response), response, reuse
                 if not count:
                     return Outcome.RESET, None, False
-                if not streaming:
-                    owner.response_started(hop)
-                    if parser.is_long() and not (streaming := self.start_streaming(hop)):
+                if not stream.started:
+                    self.pool.owner.response_started(hop)
+                    hop.body_begun = can_stream(parser)
+                    if parser.is_long() and not stream.start():
                         raise MalformedMessageError(502, "answer too large to be held")
-                if streaming and not client.write_body(parser.take_body(), False):
+                if not stream.pass_on():
                     return Outcome.CANCELLED, None, False
-                transfers.leave()
+                client.transfers.leave()
         finally:
-            transfers.leave()
-            if streaming:
-                client.abort_response()
+            client.transfers.leave()
+            stream.abort()
+
+    def receive(self, hop: Hop, stream: ResponseStream) -> int:
+        """Read more of a response; raises OSError.
 
-    def start_streaming(self, hop: Hop) -> bool:
-        """Pass on what has come of the response, and the rest as it comes, if that is possible."""
-        if self.sock is None or not self.pool.owner.stream_response(hop, self.parser):
-            return False
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, STALL_TIMEOUT)
-        return True
+        Where the deadline comes first and the answer goes on, it is streamed from then on.
+        """
+        assert self.sock is not None
+        parser = self.parser
+        wanted = parser.wanted_bytes()
+        if not hop.memory.resize(parser.held_bytes(wanted)):
+            wanted = 0  # less at a time
+            if not stream.start():
+                self.wait_for_memory(hop)
+        while True:
+            if hop.body_begun and not stream.started:
+                self.wait_until_deadline(hop, stream)
+            space = parser.ring.writable(wanted)
+            try:
+                count, received_at = arrival.receive(self.sock, space, hop.started_at)
+            except BlockingIOError:
+                if stream.started:
+                    raise TimeoutError from None  # it has stopped
+                continue
+            hop.received_at = received_at
+            parser.ring.commit(count)
+            self.bytes_read += count
+            return count
+
+    def wait_until_deadline(self, hop: Hop, stream: ResponseStream) -> None:
+        """Have the next read end at the deadline, or stream the answer if that has come."""
+        now = clock.now()
+        left = hop.exchange.deadline_at - STREAM_LEAD_US - now
+        if left > 0:
+            self.set_receive_timeout(timeval(left))
+        elif not hop.goes_on(now) or not stream.start():
+            hop.body_begun = False  # it is ended at the deadline
+            self.set_receive_timeout(NO_TIMEOUT)
+
+    def set_receive_timeout(self, value: bytes) -> None:
+        """Set for how long a read may block, unless it already is."""
+        if self.sock is not None and value != self.receive_timeout:
+            self.receive_timeout = value
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, value)
 
     def wait_for_memory(self, hop: Hop) -> None:
         """Wait until more of a response can be held; raises OSError once the hop has been ended."""
@@ -243,6 +275,58 @@
             time.sleep(MEMORY_POLL_S)
 
 
+class ResponseStream:
+    """Passes a response on to the client as it comes, once started; used by the client's thread."""
+
+    def __init__(self, connection: ServerConnection, hop: Hop) -> None:
+        self.connection = connection
+        self.hop = hop
+        self.started = False
+        self.is_open = False  # the client's answer has neither ended nor been broken off
+
+    def start(self) -> bool:
+        """Pass on what has come, and the rest as it comes, if that is possible; whether it is."""
+        if not self.started and self.connection.pool.owner.stream_response(self.hop, self.connection.parser):
+            self.started = self.is_open = True
+            self.connection.set_receive_timeout(STREAM_STALL_TIMEOUT)
+            self.pass_on()
+        return self.started
+
+    def pass_on(self) -> bool:
+        """Write what has come since the last call; False if the client does not receive it."""
+        if not self.is_open:
+            return not self.started
+        piece = self.connection.parser.take_body()
+        self.is_open = not piece or self.hop.exchange.client.write_body(piece, False)
+        if not self.is_open:
+            self.hop.exchange.client.abort_response()
+        return self.is_open
+
+    def finish(self, response: Response) -> None:
+        """Write the rest of the complete response."""
+        if self.is_open:
+            self.is_open = False
+            if not self.hop.exchange.client.write_body(response.body, True):
+                self.hop.exchange.client.abort_response()
+
+    def abort(self) -> None:
+        """Break the answer off if it has not ended."""
+        if self.is_open:
+            self.is_open = False
+            self.hop.exchange.client.abort_response()
+
+
+def can_stream(parser: ResponseParser) -> bool:
+    """Whether the body of a success is coming."""
+    incoming = parser.incoming()
+    return incoming is not None and isinstance(incoming[0], Response) and incoming[0].status == SUCCESS
+
+
+def timeval(duration_us: int) -> bytes:
+    """Return a struct timeval; never 0, which would be no limit."""
+    return struct.pack("ll", duration_us // 1_000_000, max(1, duration_us % 1_000_000))
+
+
 def request_head(hop: Hop, address: Address) -> bytes:
     """Return the head of a hop's request."""
     exchange = hop.exchange
@@ -267,7 +351,7 @@
 
 def outcome_of(response: Response) -> Outcome:
     """Classify a response; a server marks a rejected request that did not run with X-Never-Ran."""
-    if response.status == 200:
+    if response.status == SUCCESS:
         return Outcome.OK
     if response.status in (503, 504) and response.header(NEVER_RAN_HEADER) == "1":
         return Outcome.FULL
