Clock: a stepped wall clock neither ages requests nor warms cold servers

Two places turn Unix times into spans.

What callers would see: the kernel's time of arrival is of the wall clock; bytes that had come before a step forward seemed to have waited for the length of the step, so their request was over. And a server that started three seconds ago seemed an hour old, warm, and would have got more than its slow start allows, also from the new process of a hot restart.

Change: sidecar/clock.py keeps the offset of the wall clock and the one before its last step; a time that would lie in the future is not taken. The start of a server is the latest that the offset at the process's start and the present one allow, and never in the future; a hot restart hands the first offset over. For a server to be taken for cold too long costs a little, too short breaks a rule.

--- a/pumicepath/balancer.py
+++ b/pumicepath/balancer.py
@@ -42,9 +42,7 @@
 CROWDED_RATIO = 1.25  # multiple of its fair share of hops in flight from which a server is passed over
 QUEUED_LATENCY_RATIO = 3.0  # a hop that took this multiple of the typical latency counts as queued,
 QUEUED_TARGET_FRACTION = 0.3  # if it also took this fraction of the latency target
-RESPONSE_GAP_FRACTION = (
-    0.25  # of the latency target: the least pause in which a response has stopped
-)
+RESPONSE_GAP_FRACTION = 0.25  # of the latency target: the least pause in which a response has stopped
 STALL_LATENCY_RATIO = 1.0  # a hop in flight for this multiple of the typical latency stalls its server,
 STALL_TARGET_FRACTION = 0.1  # if it has also been out for this fraction of the latency target
 SUSPECT_LATENCY_RATIO = 3.0  # after this multiple of the typical latency an answer may be lost on its way,
--- a/pumicepath/sidecar/arrival.py
+++ b/pumicepath/sidecar/arrival.py
@@ -9,7 +9,6 @@
 import socket
 import struct
 import sys
-import time
 from contextlib import suppress
 
 from . import clock
@@ -50,10 +49,8 @@
     now = clock.now()
     if control and len(control[0][2]) == TIMESPEC.size:
         seconds, nanoseconds = TIMESPEC.unpack(control[0][2])
-        delay = (time.time_ns() - seconds * 1_000_000_000 - nanoseconds) // 1000
-        if delay > 0:
-            # Bounded by `since`, as the wall clock may have been set between the arrival and the read.
-            return count, max(min(since, now), now - delay)
+        received_at = clock.wall.received_at(seconds * 1_000_000 + nanoseconds // 1000, now)
+        return count, max(min(since, now), received_at)
     return count, now
 
 
--- a/pumicepath/sidecar/hot_restart.py
+++ b/pumicepath/sidecar/hot_restart.py
@@ -167,6 +167,8 @@
             raise ChannelError(f"version {answer.get('version')}")
         listener = socket.socket(fileno=descriptors.pop()) if descriptors else None
         sock.settimeout(None)
+        if "wall_offset" in answer:
+            clock.wall.inherit(int(answer["wall_offset"]))
         return Handover(
             channel,
             listener,
@@ -288,6 +290,7 @@
                 "emptied": dispatcher.out_of_service,
                 "by_hand": encode_times(out_of_service),
                 "returned": encode_times(back_in_service),
+                "wall_offset": clock.wall.monotonic_offset(),
             }
             same_address = message.get("listen") == self.listen
             channel.send(answer, (self.clients.listener.fileno(),) if same_address else ())
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -32,9 +32,7 @@
 DECAY = 0.99  # of those counts, each time the idle connections are checked
 MAX_RESPONSE_BYTES = 40 << 20  # larger responses count as malformed
 DIAL_GRACE_US = 5_000  # how long a connect may outlast its hop, which the timers have ended by then
-STALL_TIMEOUT = struct.pack(
-    "ll", 10, 0
-)  # 10 s, as a struct timeval: a server takes nothing of a body
+STALL_TIMEOUT = struct.pack("ll", 10, 0)  # 10 s, as a struct timeval: a server takes nothing of a body
 STREAM_STALL_TIMEOUT = struct.pack("ll", 3, 0)  # 3 s: it gives nothing of an answer being passed on
 STREAM_LEAD_US = 10_000  # before the deadline, at which an answer that goes on is passed on
 SUCCESS = 200
