--- a/pumicepath/lab/loopback/hostile_clients.py
+++ b/pumicepath/lab/loopback/hostile_clients.py
@@ -180,24 +180,31 @@
 }
 
 
+async def misbehave_once(address: tuple[str, int], behaviour: Behaviour, rng: random.Random) -> None:
+    """Connect and misbehave until the connection ends; raises OSError."""
+    sock = socket.socket()
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, address)
+    except BaseException:
+        sock.close()
+        raise
+    reader, writer = await asyncio.open_connection(sock=sock, limit=PIECE_BYTES)
+    try:
+        await behaviour(reader, writer, rng)
+    finally:
+        writer.transport.abort()
+
+
 async def run_client(address: tuple[str, int], behaviour: Behaviour, rng: random.Random) -> int:
     """Connect and misbehave again and again, until cancelled; returns how many connections were made."""
     connections = 0
     with suppress(asyncio.CancelledError):
         while True:
-            sock = socket.socket()
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-            sock.setblocking(False)
-            try:
-                await asyncio.get_running_loop().sock_connect(sock, address)
-                reader, writer = await asyncio.open_connection(sock=sock, limit=PIECE_BYTES)
-                connections += 1
-                await behaviour(reader, writer, rng)
-                writer.close()
-            except OSError:
-                pass  # the sidecar has ended the connection
-            finally:
-                sock.close()
+            connections += 1
+            with suppress(OSError):  # the sidecar has ended the connection, or is not there
+                await misbehave_once(address, behaviour, rng)
             await asyncio.sleep(RECONNECT_PAUSE_S)
     return connections
 
--- a/pumicepath/lab/loopback/server_process.py
+++ b/pumicepath/lab/loopback/server_process.py
@@ -4,7 +4,8 @@
         ... servers.addresses ...
     servers.runs
 
-As a program it prints the servers' addresses, and what they have run once its input ends.
+As a program it prints the servers' addresses, has a server hang for each line `NUMBER SECONDS` of its input,
+and prints what they have run once that ends.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import json
 import subprocess
 import sys
+import threading
 from typing import Any
 
 from .commanded_server import CommandedServer, Run, RunLog
@@ -27,6 +29,12 @@
         self.addresses: list[str] = json.loads(self.process.stdout.readline())
         self.runs: list[Run] = []
 
+    def hang(self, server: int, seconds: float) -> None:
+        """Have a server neither read nor write for so long."""
+        assert self.process.stdin is not None
+        self.process.stdin.write(f"{server} {seconds}\n")
+        self.process.stdin.flush()
+
     def __enter__(self) -> ServerProcess:
         return self
 
@@ -44,7 +52,11 @@
     log = RunLog()
     servers = [CommandedServer(f"s-{at}", log, float(arguments[1])) for at in range(int(arguments[0]))]
     print(json.dumps([server.address for server in servers]), flush=True)
-    sys.stdin.read()
+    for line in sys.stdin:
+        number, seconds = line.split()
+        server = servers[int(number)]
+        server.hung.set()
+        threading.Timer(float(seconds), server.hung.clear).start()
     runs: list[dict[str, Any]] = [vars(run) for run in list(log.runs)]
     print(json.dumps(runs), flush=True)
 
