System calls that fail for a moment are made again, and no server is blamed

What callers would see: a read or write that failed with ENOBUFS or ENOMEM closed a sound connection, and a request that had been read was lost; a connect that failed for lack of descriptors, ports, memory or a route counted as the server's failure, so that a moment without descriptors could open every breaker; an aborted accept had resting clients ended.

An aborted accept is just followed by the next. ETIMEDOUT, EHOSTUNREACH and the like stay resets.

--- a/pumicepath/sidecar/arrival.py
+++ b/pumicepath/sidecar/arrival.py
@@ -12,6 +12,7 @@
 from contextlib import suppress
 
 from . import clock
+from .transient import LACK_OF_MEMORY, retry
 
 TCP_ESTABLISHED = 1  # a TCP state (tcp_states.h)
 BYTES_RECEIVED = slice(128, 136)  # tcpi_bytes_received in struct tcp_info (linux/tcp.h)
@@ -45,7 +46,12 @@
 
     Raises OSError.
     """
-    count, control, _, _ = sock.recvmsg_into((buffer,), CONTROL_BYTES)
+    try:
+        count, control, _, _ = sock.recvmsg_into((buffer,), CONTROL_BYTES)
+    except OSError as error:
+        if error.errno not in LACK_OF_MEMORY:
+            raise
+        count, control, _, _ = retry(lambda: sock.recvmsg_into((buffer,), CONTROL_BYTES), LACK_OF_MEMORY)
     now = clock.now()
     if control and len(control[0][2]) == TIMESPEC.size:
         seconds, nanoseconds = TIMESPEC.unpack(control[0][2])
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -116,7 +116,8 @@
         """Serve the connection until it ends, then close it."""
         self.thread_id = threading.get_ident()
         try:
-            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with suppress(OSError):
+                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             # A client that does not read its response must not block the thread that writes it for ever.
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, WRITE_TIMEOUT)
             arrival.enable_timestamps(self.sock)
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -132,6 +132,8 @@
                         # that, so accept() must return soon from now on.
                         self.listener.settimeout(ACCEPT_POLL_DRAINING_S)
                     continue
+                except ConnectionAbortedError:
+                    continue  # its client has gone already; others are not concerned
                 except OSError as error:
                     if self.listener.fileno() < 0:
                         return None
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -25,6 +25,7 @@
 from .exchange import ExchangeOwner, Hop, Upload, UploadError
 from .log import Log
 from .socket_writer import send_all
+from .transient import LACK_OF_RESOURCES, retry
 
 DEADLINE_HEADER = "x-expires-in-ms"
 NEVER_RAN_HEADER = "X-Never-Ran"
@@ -109,8 +110,10 @@
             self.send_request(hop)
         except UploadError:
             return Outcome.CANCELLED, None, False
-        except OSError:
-            return Outcome.CONNECT_FAILED, None, False
+        except OSError as error:
+            # Where this machine lacked something, no server has failed; either way nothing was sent whole.
+            is_local = error.errno in LACK_OF_RESOURCES
+            return Outcome.MOOT if is_local else Outcome.CONNECT_FAILED, None, False
         try:
             outcome, response, reuse = self.read_response(hop)
         except MalformedMessageError as error:
@@ -142,15 +145,25 @@
         limit, the client's next request would wait for this thread although this hop has long been answered.
         The grace time lets the timers report the end of the hop first.
         """
-        timeout = min(self.pool.connect_timeout, hop.ends_at + DIAL_GRACE_US - clock.now())
+        end = min(clock.now() + self.pool.connect_timeout, hop.ends_at + DIAL_GRACE_US)
+        sock = retry(lambda: self.connect_once(address, end), LACK_OF_RESOURCES)
+        sock.settimeout(None)
+        with suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        arrival.enable_timestamps(sock)
+
+    def connect_once(self, address: Address, end: int) -> socket.socket:
+        """Connect with a new socket, until `end` at the latest; raises OSError."""
+        timeout = end - clock.now()
         if timeout <= 0:
             raise TimeoutError
-        self.sock = sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
+        sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
+        self.sock, replaced = sock, self.sock
+        if replaced is not None:
+            replaced.close()
         sock.settimeout(timeout / 1e6)
         sock.connect(address)
-        sock.settimeout(None)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        arrival.enable_timestamps(sock)
+        return sock
 
     def send_request(self, hop: Hop) -> None:
         """Write the request; raises OSError if that fails, UploadError if the client's body fails."""
--- a/pumicepath/sidecar/socket_writer.py
+++ b/pumicepath/sidecar/socket_writer.py
@@ -12,6 +12,7 @@
 
 from . import clock
 from .sending_rate import MIN_BYTES_PER_US
+from .transient import LACK_OF_MEMORY, retry
 
 MAX_JOINED_BYTES = 4096  # up to this a copy costs less than another system call
 
@@ -26,7 +27,12 @@
 def send_first(sock: socket.socket, remaining: deque[memoryview], flags: int = 0) -> int:
     """Send what the socket accepts of the first part, drop it and return its length; raises OSError."""
     first = remaining[0]
-    count = sock.send(first, flags)
+    try:
+        count = sock.send(first, flags)
+    except OSError as error:
+        if error.errno not in LACK_OF_MEMORY:
+            raise
+        count = retry(lambda: sock.send(first, flags), LACK_OF_MEMORY)
     if count < len(first):
         remaining[0] = first[count:]
     else:
