Clients that left: no further attempt where a close may be hidden behind unread bytes

Change: an attempt that begins over 80 ms after its request came is not written while 32 KiB or more are unread behind it (half of the least window); it is moot, and the request gets its final answer. Clients that send one request at a time, as the protocol has it, have nothing behind it.

--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -18,6 +18,7 @@
 from ..http1.messages import MalformedMessageError, Request
 from ..http1.parsing import START, RequestParser
 from . import answers, arrival, clock
+from .body_arrival import unread_bytes
 from .bulkhead import BulkheadEntry
 from .decision_log import CloseReason, Decision, RefusalReason
 from .dispatch import Dispatcher
@@ -39,6 +40,7 @@
 MAX_CONSECUTIVE_ERRORS = 3  # after these the connection is closed
 MEMORY_WAIT_US = 100_000  # for memory, until a request is refused for the lack of it
 MEMORY_POLL_S = 0.01
+HIDDEN_CLOSE_BYTES = 32 * 1024  # half of the least receive window that Linux offers
 FREE_LOCAL_ANSWERS = 2  # in a row, before a client's next ones are done one at a time with others'
 # States of a connection.  FRESH: nothing received yet; PARTIAL: part of a request received; BUSY: a request
 # is being served; CLOSING: no further request is read; DRAINING: it was idle or fresh when its read side was
@@ -562,6 +564,13 @@
             return True
         return not self.close_undetectable and arrival.is_closed(self.sock)
 
+    def may_hide_close(self) -> bool:
+        """Whether so much is unread behind the request that the client's close could wait behind it.
+
+        Once the receive buffer is full, a close stays unseen until more is read.
+        """
+        return unread_bytes(self.sock) >= HIDDEN_CLOSE_BYTES
+
     # -- closing, by other threads
 
     def expire(self, state: int) -> bool:
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -16,6 +16,7 @@
 from .memory_account import MemoryAccount, MemoryKind, Reservation
 
 STREAM_START_GRACE_US = 100_000  # past the deadline, for the thread of an answer that goes on to pass it on
+HIDDEN_CLOSE_AFTER_US = 80_000  # a client that closed since the request came may get one sent 0.1 s later
 CLIENT_CHECK_AFTER_US = 5_000  # before this, a client is assumed to be still there
 
 
@@ -39,6 +40,9 @@
     def has_left(self) -> bool:
         """Whether the client is known to have closed its connection."""
 
+    def may_hide_close(self) -> bool:
+        """Whether so much is unread behind the request that the client's close could wait behind it."""
+
     def acquire_slot(self) -> None:
         """Wait for a slot of the admission gate."""
 
@@ -203,7 +207,12 @@
                 other.may_have_run and now > other.sent_at + request_class.dedup_window for other in earlier
             ):
                 return False
-        return now - self.received_at <= CLIENT_CHECK_AFTER_US or not self.client.has_left()
+        age = now - self.received_at
+        if age <= CLIENT_CHECK_AFTER_US:
+            return True
+        if self.client.has_left():
+            return False
+        return self.upload is not None or age <= HIDDEN_CLOSE_AFTER_US or not self.client.may_hide_close()
 
     def end_upload(self, now: int) -> None:
         """End all hops at the deadline, before the body's last byte was sent; called with the lock held.
