Hot restart: an id in use at one process is refused at the other

Cause: each process kept ids for itself, while both are one towards clients.

Change: the old process hands over the ids in use with their times (of the monotonic clock, which both share), and from then on each tells the other of an id before anything of its request is sent; a request waits 10 ms for that at most, so a process that hangs holds nothing up. Ids that are kept on for a long body or answer past their first time are not told again.

--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -38,6 +38,10 @@
 ActiveConfig = tuple[Config, tuple[ClassState, ...]]
 
 
+def ignore_id(trace_id: str, until: int) -> None:
+    """Tell nobody that an id is in use: there is no other process."""
+
+
 class Dispatcher:
     """Owns the balancer, the open exchanges and the timers, and is the balancer's host.
 
@@ -50,6 +54,7 @@
         self.combining_lock = CombiningLock(self.log_fault)
         self.timers = TimerQueue()
         self.exchanges: dict[int, Exchange] = {}
+        self.on_id_claimed: Callable[[str, int], None] = ignore_id  # with the lock held, must not block
         self.admitted = 0
         self.draining = False  # since SIGTERM
         self.shutdown_at = NO_DEADLINE_US  # when all admitted requests must be answered, set on SIGTERM
@@ -145,6 +150,7 @@
             number = self.admitted + 1
             if not self.trace_ids.claim(now, exchange.trace_id, number, until, self.max_deadline):
                 return
+            self.on_id_claimed(exchange.trace_id, until)
             self.admitted = number
             exchange.number = self.admitted
             self.exchanges[exchange.number] = exchange
@@ -353,6 +359,25 @@
         self.run_locked(call)
         return bool(accepted)
 
+    def hold_ids(self, ids: list[tuple[str, int]]) -> None:
+        """Keep ids that the other process of a hot restart uses, each until its time."""
+
+        def call(now: int) -> None:
+            for trace_id, until in ids:
+                self.trace_ids.hold(now, trace_id, until)
+
+        self.run_locked(call)
+
+    def ids_in_use(self) -> list[tuple[str, int]]:
+        """Return the ids in use, each with its time."""
+
+        def call(now: int) -> None:
+            ids.extend((held.trace_id, held.until) for held in self.trace_ids.in_use(now))
+
+        ids: list[tuple[str, int]] = []
+        self.run_locked(call)
+        return ids
+
     def set_peer_trials(self, peer_trials: PeerTrials | None) -> None:
         """Coordinate half-open trials of unhealthy servers with other sidecars, or with none of them."""
 
--- a/pumicepath/sidecar/hot_restart.py
+++ b/pumicepath/sidecar/hot_restart.py
@@ -9,6 +9,7 @@
 import os
 import socket
 import threading
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
@@ -29,6 +30,8 @@
 # An operator's change waits this long for the other process to confirm it.
 CONFIRM_TIMEOUT_S = 0.5
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+ID_SHARING_TIMEOUT_S = 0.01  # longer than the other process takes, unless it hangs
+MAX_SHARED_IDS = 10_000  # at most 256 bytes each, within a message
 
 
 class ChannelError(Exception):
@@ -113,6 +116,7 @@
     out_of_service: dict[int, int]
     back_in_service: dict[int, int]
     drained_by_operator: bool
+    ids_in_use: list[tuple[str, int]]
 
 
 def encode_times(times: dict[int, int]) -> list[list[int]]:
@@ -125,6 +129,16 @@
     return {int(server): clock.from_monotonic(int(time)) for server, time in times}
 
 
+def encode_ids(ids: list[tuple[str, int]]) -> list[list[Any]]:
+    """Encode ids for a message, with times of the machine's monotonic clock; the newest if there are many."""
+    return [[trace_id, clock.to_monotonic(until)] for trace_id, until in ids[-MAX_SHARED_IDS:]]
+
+
+def decode_ids(ids: list[list[Any]]) -> list[tuple[str, int]]:
+    """Decode what `encode_ids` has made; raises ValueError for anything else."""
+    return [(str(trace_id), clock.from_monotonic(int(until))) for trace_id, until in ids]
+
+
 def socket_path() -> Path | None:
     """Return where the serving process is reached, or None if $TMPDIR is not set."""
     folder = os.environ.get("TMPDIR", "")
@@ -176,6 +190,7 @@
             decode_times(answer["by_hand"]),
             decode_times(answer["returned"]),
             bool(answer["emptied"]),
+            decode_ids(answer.get("ids", [])),
         )
     except (OSError, ChannelError, ValueError, TypeError, KeyError):
         for each in descriptors:
@@ -184,6 +199,19 @@
         return None
 
 
+class ClaimedId(NamedTuple):
+    """An id that was claimed here; `shared` is set once the other processes have been told."""
+
+    trace_id: str
+    until: int
+    shared: threading.Event
+
+
+def wait_for(shared: threading.Event) -> None:
+    """Wait until an id has been shared, for a bounded time."""
+    shared.wait(ID_SHARING_TIMEOUT_S)
+
+
 class HotRestart:
     """A running process's channels to the process that it has replaced and to those that may replace it."""
 
@@ -195,11 +223,14 @@
         self.known_list = known_list
         self.listen = list(listen)
         self.channels: dict[Channel, None] = {}
+        self.claimed_ids: deque[ClaimedId] = deque(maxlen=MAX_SHARED_IDS)
+        self.id_claimed = threading.Event()
         self.superseded = False  # whether a new process accepts clients in this one's place
 
     def take_over(self, old_process: Channel) -> None:
         """Tell the old process that this one accepts clients now; the old one stops accepting them."""
         self.channels[old_process] = None
+        self.start_sharing_ids()
         self.dispatcher.scale_connection_limit(1, 2)
         self.clients.scale_limit(2, 3)
         with suppress(OSError):
@@ -258,6 +289,8 @@
                     with channel.confirmation:
                         channel.last_confirmed = max(channel.last_confirmed, int(message["done"]))
                         channel.confirmation.notify_all()
+                if "ids" in message:
+                    self.dispatcher.hold_ids(decode_ids(message["ids"]))
                 if "number" in message:
                     self.apply(message)
                     channel.send({"done": message["number"]})
@@ -284,7 +317,9 @@
             # Changes from now on are sent after the answer, and may also be contained in it.
             self.channels[channel] = None
             out_of_service, back_in_service = dispatcher.operator_state()
+            self.start_sharing_ids()
             answer = {
+                "ids": encode_ids(dispatcher.ids_in_use()),
                 "version": PROTOCOL_VERSION,
                 "known": self.known_list(),
                 "emptied": dispatcher.out_of_service,
@@ -302,6 +337,36 @@
         if "emptied" in message:
             self.clients.set_out_of_service(bool(message["emptied"]))
 
+    def start_sharing_ids(self) -> None:
+        """Tell the other process of each id that is claimed from now on: both act as one towards clients."""
+        if self.dispatcher.on_id_claimed != self.note_id:
+            self.dispatcher.on_id_claimed = self.note_id
+            start_thread(self.share_ids)
+
+    def note_id(self, trace_id: str, until: int) -> None:
+        """Queue an id for the other processes; called with the dispatcher's lock held.
+
+        Once that is free the request waits until they have been told, or for ID_SHARING_TIMEOUT_S.
+        """
+        if self.channels:
+            shared = threading.Event()
+            self.claimed_ids.append(ClaimedId(trace_id, until, shared))
+            self.id_claimed.set()
+            self.dispatcher.do_after_unlock(lambda: wait_for(shared))
+
+    def share_ids(self) -> None:
+        """Send queued ids as they come; the body of a thread."""
+        while True:
+            self.id_claimed.wait()
+            self.id_claimed.clear()
+            claimed = [self.claimed_ids.popleft() for _ in range(len(self.claimed_ids))]
+            message = {"ids": encode_ids([(each.trace_id, each.until) for each in claimed])}
+            for channel in list(self.channels) if claimed else ():
+                with suppress(OSError):  # that process has ended
+                    channel.send(message)
+            for each in claimed:
+                each.shared.set()
+
     def propagate(self, message: dict[str, Any]) -> None:
         """Have all connected processes apply an operator's change, and wait for each of them."""
         for channel in list(self.channels):
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -112,6 +112,7 @@
     if handover is not None:
         dispatcher.inherit_operator_state(handover.out_of_service, handover.back_in_service)
         dispatcher.out_of_service = handover.drained_by_operator
+        dispatcher.hold_ids(handover.ids_in_use)
     dispatcher.update_servers(ListKind.CACHED, known)
     if config.pushed:
         watcher.request_list()
--- a/pumicepath/sidecar/trace_ids.py
+++ b/pumicepath/sidecar/trace_ids.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+NO_EXCHANGE = 0  # the number of an exchange of another process
+
 
 class HeldId(NamedTuple):
     """An id, the number of its exchange, and when it is looked at again."""
@@ -39,6 +41,16 @@
         self.queue.append(HeldId(until, trace_id, number))
         return True
 
+    def hold(self, now: int, trace_id: str, until: int) -> None:
+        """Keep an id that another process uses until then; nothing changes if it is in use here."""
+        if until > now and trace_id not in self.held:
+            self.held.add(trace_id)
+            self.queue.append(HeldId(until, trace_id, NO_EXCHANGE))
+
+    def in_use(self, now: int) -> list[HeldId]:
+        """Return the ids whose time is not over."""
+        return [held for held in self.queue if held.until > now]
+
     def expire(self, now: int, max_hold: int) -> None:
         """Free the ids whose time is over, except those of open exchanges."""
         while self.queue and self.queue[0].until <= now:
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -18,7 +18,7 @@
 from pumicepath.sidecar.hot_restart import SOCKET_NAME, Channel, HotRestart, ShortPath, request_handover
 
 from .helpers import check_trace
-from .rig import Rig, paused, wait_until
+from .rig import Rig, paused, read_status, wait_until
 
 
 class EchoServer(ScriptedServer):
@@ -301,3 +301,35 @@
         assert handover.listener.getsockname() == deployment.address
         handover.listener.close()
         handover.channel.close()
+
+
+def send_once(sock: socket.socket, name: str) -> None:
+    headers = [("Host", "api"), ("X-Trace-Id", name), ("X-Qos", "once"), ("X-Expires-In-Ms", "2400")]
+    sock.sendall(writing.request("POST", "/api", headers, b""))
+
+
+# A request that must not run twice ran once at each process, as neither knew the other's ids (report 000ac8).
+def test_an_id_in_use_at_one_process_of_a_hot_restart_is_refused_at_the_other(tmp_path: Path) -> None:
+    deployment = restartable_deployment(tmp_path, 1)
+    with deployment.running():
+        for _ in range(3):
+            deployment.script.put("wait")
+        kept = deployment.client_socket
+        with socket.create_connection(deployment.address) as leaving:
+            send_once(leaving, "before")
+            assert deployment.servers[0].received_requests.acquire(timeout=20)
+        old, _ = start_replacement(deployment)
+        with socket.create_connection(deployment.address) as again:
+            send_once(again, "before")
+            assert read_status(again) == 409
+        old_side_by_side = socket.create_connection(deployment.address)
+        send_once(old_side_by_side, "new")
+        assert deployment.servers[0].received_requests.acquire(timeout=20)
+        # Answered once the old process has confirmed it, and so has been told of the id before.
+        assert deployment.call_admin("PUT", "/servers/s-0/ready").status == 200
+        send_once(kept, "new")
+        assert read_status(kept) == 409
+        old_side_by_side.close()
+        old.kill()
+        old.wait()
+    assert [line.split()[-1] for line in deployment.transcript] == ["before", "new"]
