Servers: one whose address another has taken gets nothing more

Tried: connections are kept for one run of a server (address and start), a further run at the address has another start, and one that is no longer listed closes its connections; these hold. What did not: where a list that leaves a server out does not remove it (drainBindsAlone), or a change names only the new server, the old one stayed in use at an address where another server answers, so that work could go to another zone or to a group that knows nothing of an earlier attempt.

Change: a server that the update does not name loses its instance when another server newly has its address; a hop to it is moot. Servers that share an address from the start are left alone.

Evidence: the new test fails on the code before in both cases and passes now. Not reproduced with real processes.

--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -458,8 +458,29 @@
                 instances.pop(entry.server, None)
             elif entry.state == ServerState.READY:
                 instances[entry.server] = ServerInstance(address, entry.started_at)
+        self.drop_replaced(instances, {entry.server for entry in update.entries})
         self.set_instances(instances)
 
+    def drop_replaced(self, instances: dict[int, ServerInstance], named: Container[int]) -> None:
+        """Forget servers at whose address another one has come, though the update does not name them.
+
+        What was sent to such a server would reach the other, which may be in another zone or group and knows
+        nothing of what the first has done.
+        """
+        taken = {
+            instance.address
+            for server, instance in instances.items()
+            if server in named and self.address_of(server) != instance.address
+        }
+        for server, instance in list(instances.items()):
+            if server not in named and instance.address in taken:
+                del instances[server]
+
+    def address_of(self, server: int) -> Address | None:
+        """Return the address at which a server was known so far."""
+        instance = self.instances.get(server)
+        return instance.address if instance is not None else None
+
     def keep_only(self, used: Container[int]) -> None:
         """Forget all servers except those in `used`."""
         self.set_instances(
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -465,6 +465,21 @@
     assert used == [True, False, False, False] and pool.open_count == 4
 
 
+# A process that had come up at the address of one that had gone got what was meant for that (report 000ac8).
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_server_whose_address_another_has_taken_gets_nothing_more(whole: bool, tmp_path: Path) -> None:
+    pool = Pool(FakeDispatcher(), config.decode_config(Deployment(tmp_path, 0).configuration), None)
+    first, second = Address("127.0.0.1", 1), Address("127.0.0.1", 2)
+    pool.update_servers(ServerListUpdate(1, True, [make_entry(10), make_entry(11)], [first, second]), True)
+    pool.update_servers(ServerListUpdate(2, whole, [make_entry(12)], [first]), True)
+    assert pool.instance(10) is None and pool.instance(11) is not None
+    assert pool.instance(12).address == first
+    # Servers that share an address from the start stay: nobody has come in another's place.
+    pool.update_servers(ServerListUpdate(3, False, [make_entry(13), make_entry(14)], [second, second]), True)
+    pool.update_servers(ServerListUpdate(4, False, [make_entry(13)], [second]), True)
+    assert pool.instance(14) is not None and pool.instance(11) is None
+
+
 def test_idle_times_after_which_hops_are_reset_are_learnt_and_forgotten(tmp_path: Path) -> None:
     tracker = IdleResetTracker()
     for step in range(200):
