Overflow: clients for which there is no place are refused in time, not left waiting

What callers saw: where bad clients held all places, honest ones waited in the backlog until their time was over: at 32 MB (28 places) and 300 clients 15 of 31 requests beside stopped chunks, 3 of 150 beside uploads, 4 of 123 beside readers of short answers came late. Cause: at the limit nothing was accepted until a place became free, and a burst of connections was slowed down without end.

Change: sidecar/overflow.py: once no place has been free for 0.1 s, one thread accepts those that wait, reads what they have sent, and answers 503 with a close; up to 128 at a time, bounded by the descriptors, planned for in the memory. A burst is slowed down for 0.1 s.

--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import threading
 import time
@@ -14,6 +15,7 @@
 from .client import BUSY, CLOSING, DRAINING, FRESH, IDLE, PARTIAL, Client
 from .config import ACCEPT_HEADROOM, Config
 from .dispatch import Dispatcher
+from .overflow import Overflow
 from .servers import start_thread
 
 __all__ = ["BUSY", "CLOSING", "FRESH", "IDLE", "DRAINING", "PARTIAL", "Client", "Clients"]
@@ -28,6 +30,7 @@
 DRAIN_FIRST_BYTE_TIMEOUT_US = 300_000  # for a new connection's first request, while connections are drained
 LINGER_TIMEOUT_US = 1_000_000  # for the client to close after this side has
 EVICTION_INTERVAL_US = 5_000  # between searches for such connections
+OVERFLOW_AFTER_US = 100_000  # without a free place, until those that wait to be accepted must not any longer
 EXTRA_EVICTIONS = 8  # closed at a time beyond what is needed, since new connections come in bursts
 # Between checks whether this process still accepts: where another process may share the listener (hot
 # restart), where it may not, and while draining.  The first two must be shorter than the time for which
@@ -51,6 +54,13 @@
     return listener
 
 
+def readable(sock: socket.socket) -> bool:
+    """Whether a read or an accept would not block."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Clients:
     """The listener and all connections it has accepted."""
 
@@ -64,6 +74,9 @@
         self.ready_lock = threading.Lock()
         self.ready_threads = 1
         self.last_eviction_at = 0
+        self.burst_since = 0  # since when many connections have sent nothing yet; 0: few have not
+        self.full_since = 0  # since when no place has been free; 0: one is
+        self.overflow = Overflow(config.overflow_connections, dispatcher.decisions)
         self.server_connections_used_up = False
         self.accept_lock = threading.Lock()
         self.accept_enabled = threading.Event()
@@ -113,13 +126,15 @@
         with self.accept_lock:
             while not self.stopped:
                 if len(self.fresh) > self.connection_limit // 3:
-                    # Slows down bursts: connections are read, or found silent, before more are accepted.
-                    self.evict_idle()
-                    time.sleep(CAPACITY_POLL_S)
+                    self.slow_down_burst()
+                else:
+                    self.burst_since = 0
                 if self.is_full():
                     self.evict_idle()
                     time.sleep(CAPACITY_POLL_S)  # new ones wait in the listener's backlog
+                    self.refuse_overflow()
                     continue
+                self.full_since = 0
                 if not self.accept_enabled.wait(
                     ACCEPT_POLL_DRAINING_S if self.dispatcher.draining else ACCEPT_POLL_S
                 ):
@@ -143,6 +158,30 @@
 
         return None
 
+    def slow_down_burst(self) -> None:
+        """Have connections read, or found silent, before more are accepted, but not for longer than a moment.
+
+        On a busy core that may take seconds, and those that wait to be accepted have deadlines.
+        """
+        now = clock.now()
+        self.burst_since = self.burst_since or now
+        self.evict_idle()
+        if now - self.burst_since < OVERFLOW_AFTER_US:
+            time.sleep(CAPACITY_POLL_S)
+
+    def refuse_overflow(self) -> None:
+        """Refuse those that wait to be accepted, once no place has become free for OVERFLOW_AFTER_US."""
+        now = clock.now()
+        self.full_since = self.full_since or now
+        is_accepting = self.accept_enabled.is_set() and not self.dispatcher.draining
+        if now - self.full_since < OVERFLOW_AFTER_US or not is_accepting:
+            return
+        while self.is_full() and self.overflow.has_room() and readable(self.listener):
+            try:
+                self.overflow.add(self.listener.accept()[0])
+            except OSError:  # another process has accepted it, or its client has gone
+                return
+
     def add_client(self, sock: socket.socket) -> Client:
         """Add an accepted socket to the open connections."""
         client = Client(sock, self, clock.now())
--- a/pumicepath/sidecar/config.py
+++ b/pumicepath/sidecar/config.py
@@ -23,6 +23,9 @@
 BASE_MEMORY_MB = 24  # before the first connection, including the server list
 BASE_MEMORY_BYTES = BASE_MEMORY_MB << 20
 DEFAULT_MEMORY_MB = 192
+DEFAULT_SOCKETS = 1024
+MAX_OVERFLOW = 128  # connections that are refused at a time
+MIN_OVERFLOW = 8  # out of the reserved descriptors
 ACCEPT_HEADROOM = 24  # clients' connections accepted beyond the limit, while others are being closed
 SPARE_MEMORY_FRACTION = 1 / 16  # for the allocator and data that grows
 TOP_LEVEL_KEYS = ("name", "seed", "limits", "listen", "discovery", "peers", "relays", "services")
@@ -62,6 +65,7 @@
     peers: PeerSettings | None = None
     relays: tuple[str, ...] = ()
     usable_memory: int = 0  # in bytes
+    overflow_connections: int = 0  # beyond all others, that may be refused at a time
     services: tuple[str, ...] | None = None  # to be followed at relays, `("*",)` for all
 
     @property
@@ -161,12 +165,7 @@
         value = limits.get(key, 0)
         if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < 1e9:
             raise ValueError(f"limits.{key}: {value!r} is not from 0 to 1e9")
-    # The process may have fewer descriptors than the configured limit.  Without this bound clients could take
-    # all of them, and the watch on discovery could not be reopened.
-    available = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    memory, sockets = limits.get("memory_mb", DEFAULT_MEMORY_MB), limits.get("sockets", 1024)
-    if available != resource.RLIM_INFINITY:
-        sockets = min(sockets, max(available, RESERVED_DESCRIPTORS + MIN_CONNECTIONS))
+    memory, sockets = limits.get("memory_mb", DEFAULT_MEMORY_MB), available_descriptors(limits)
     allowed = {
         "memory_mb": (usable_memory(limits) - BASE_MEMORY_BYTES) / 1024 / CONNECTION_KB,
         "sockets": sockets - RESERVED_DESCRIPTORS,
@@ -178,6 +177,23 @@
     return int(allowed[scarce])
 
 
+def overflow_connections(limits: dict[str, Any]) -> int:
+    """Return how many further connections the descriptors allow, for being refused."""
+    spare = available_descriptors(limits) - RESERVED_DESCRIPTORS - connection_limit(limits)
+    return min(MAX_OVERFLOW, max(MIN_OVERFLOW, spare))
+
+
+def available_descriptors(limits: dict[str, Any]) -> int:
+    """Return how many descriptors the configuration and the process's own limit allow."""
+    # Without the process's limit clients could take all descriptors, and the watch on discovery could not be
+    # reopened.
+    sockets = int(limits.get("sockets", DEFAULT_SOCKETS))
+    available = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if available != resource.RLIM_INFINITY:
+        sockets = min(sockets, max(available, RESERVED_DESCRIPTORS + MIN_CONNECTIONS))
+    return sockets
+
+
 def usable_memory(limits: dict[str, Any]) -> int:
     """Return how many bytes of the memory limit may be planned with."""
     return int(limits.get("memory_mb", DEFAULT_MEMORY_MB) * (1 - SPARE_MEMORY_FRACTION) * (1 << 20))
@@ -209,6 +225,7 @@
         seed=seed,
         max_connections=connection_limit(raw.get("limits", {})),
         usable_memory=usable_memory(raw.get("limits", {})),
+        overflow_connections=overflow_connections(raw.get("limits", {})),
         known_list=known_list,
         zones=zones,
         kinds=tuple(str(kind) for kind in info.get("kinds", [])),
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -67,6 +67,7 @@
             BASE_MEMORY_BYTES,
             config.max_client_connections + ACCEPT_HEADROOM,
             config.max_server_connections,
+            config.overflow_connections,
         )
         self.bulkheads = Bulkheads()
         self.memory = MemoryAccount(self.memory_budget.for_messages(1))
--- a/pumicepath/sidecar/memory_account.py
+++ b/pumicepath/sidecar/memory_account.py
@@ -19,6 +19,7 @@
 STEP_BYTES = 4 * 1024  # reservations are rounded up to this
 CLIENT_CONNECTION_BYTES = 64 * 1024  # with its thread, both allowances and what the allocator loses
 SERVER_CONNECTION_BYTES = 24 * 1024  # with its allowance
+REFUSED_CONNECTION_BYTES = 8 * 1024  # one that gets no place
 MIN_LIMIT_BYTES = 1 << 20  # below this not even one long message could be passed on
 STATM = Path("/proc/self/statm")
 STATM_RESIDENT = 1  # field of proc(5): resident pages
@@ -46,11 +47,20 @@
     `usable`: of the limit; `base`: of a process without connections; `connections`: all that may be open.
     """
 
-    def __init__(self, usable: int, base: int, client_connections: int, server_connections: int) -> None:
+    def __init__(
+        self,
+        usable: int,
+        base: int,
+        client_connections: int,
+        server_connections: int,
+        refused_connections: int = 0,
+    ) -> None:
         self.usable = usable
         self.base = base
         self.connections = (
-            client_connections * CLIENT_CONNECTION_BYTES + server_connections * SERVER_CONNECTION_BYTES
+            client_connections * CLIENT_CONNECTION_BYTES
+            + server_connections * SERVER_CONNECTION_BYTES
+            + refused_connections * REFUSED_CONNECTION_BYTES
         )
 
     def for_messages(self, processes: int) -> int:
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -144,6 +144,7 @@
         **({"peers": peers.listen_address} if peers is not None else {}),
         **({"relays": len(config.relays)} if config.relays else {}),
     )
+    start_thread(clients.overflow.run)
     start_thread(clients.run)
     if admin_server is not None:
         if handover is not None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from pumicepath.admin.metrics import Metrics
 from pumicepath.discovery.server_list import Address, ServerList, ServerListUpdate, parse_address
 from pumicepath.discovery.watch import Watch
 from pumicepath.http1 import writing
@@ -21,6 +22,7 @@
 from pumicepath.sidecar.admission_gate import AdmissionGate
 from pumicepath.sidecar.bulkhead import Bulkheads
 from pumicepath.sidecar.clients import BUSY, CLOSING, DRAINING, FRESH, IDLE, PARTIAL, Client, Clients
+from pumicepath.sidecar.decision_log import DecisionLog
 from pumicepath.sidecar.delay_monitor import DelayMonitor
 from pumicepath.sidecar.dispatch import Dispatcher
 from pumicepath.sidecar.exchange import Exchange, Hop
@@ -398,6 +400,7 @@
         self.addresses: dict = {}
         self.memory = MemoryAccount(1 << 20)
         self.bulkheads = Bulkheads()
+        self.decisions = DecisionLog(Metrics())
 
     def closes_connections(self) -> bool:
         return False
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from pumicepath.admin.metrics import Metrics
 from pumicepath.http1 import writing
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import Deployment, read_message
@@ -13,6 +14,7 @@
 from pumicepath.sidecar.bulkhead import Bulkheads
 from pumicepath.sidecar.client import BUSY, CLOSING, DISCARDING, DRAINING, IDLE, PARTIAL, Client
 from pumicepath.sidecar.clients import Clients
+from pumicepath.sidecar.decision_log import DecisionLog
 from pumicepath.sidecar.memory_account import MemoryAccount
 from pumicepath.sidecar.sending_rate import MIN_BYTES_PER_US, SendingRate
 from pumicepath.sidecar.servers import start_thread
@@ -118,6 +120,7 @@
     out_of_service = False
     memory = MemoryAccount(1 << 20)
     bulkheads = Bulkheads()
+    decisions = DecisionLog(Metrics())
 
     def __init__(self, folder: Path) -> None:
         limits = {"memory_mb": 192, "sockets": 60}
