--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -23,20 +23,18 @@
 from . import arrival, clock
 from .config import Config
 from .exchange import ExchangeOwner, Hop, Upload, UploadError
+from .idle_resets import IdleResetTracker
 from .log import Log
+from .response_stream import SUCCESS, ResponseStream, can_stream
 from .socket_writer import send_all
 from .transient import LACK_OF_RESOURCES, retry
 
 DEADLINE_HEADER = "x-expires-in-ms"
 NEVER_RAN_HEADER = "X-Never-Ran"
-MIN_SAMPLES = 5  # uses after idle times of similar length, below which resets are not judged
-DECAY = 0.99  # of those counts, each time the idle connections are checked
 MAX_RESPONSE_BYTES = 40 << 20  # larger responses count as malformed
 DIAL_GRACE_US = 5_000  # how long a connect may outlast its hop, which the timers have ended by then
 STALL_TIMEOUT = struct.pack("ll", 10, 0)  # 10 s, as a struct timeval: a server takes nothing of a body
-STREAM_STALL_TIMEOUT = struct.pack("ll", 3, 0)  # 3 s: it gives nothing of an answer being passed on
 STREAM_LEAD_US = 10_000  # before the deadline, at which an answer that goes on is passed on
-SUCCESS = 200
 NO_TIMEOUT = struct.pack("ll", 0, 0)
 MEMORY_POLL_S = 0.005  # between checks whether more of a response can be held
 
@@ -201,7 +199,7 @@
         assert self.sock is not None
         parser, client = self.parser, hop.exchange.client
         parser.method = hop.exchange.request.method
-        stream = ResponseStream(self, hop)
+        stream = ResponseStream(self, self.pool.owner, hop)
         try:
             while True:
                 count = self.receive(hop, stream)
@@ -286,53 +284,6 @@
             time.sleep(MEMORY_POLL_S)
 
 
-class ResponseStream:
-    """Passes a response on to the client as it comes, once started; used by the client's thread."""
-
-    def __init__(self, connection: ServerConnection, hop: Hop) -> None:
-        self.connection = connection
-        self.hop = hop
-        self.started = False
-        self.is_open = False  # the client's answer has neither ended nor been broken off
-
-    def start(self) -> bool:
-        """Pass on what has come, and the rest as it comes, if that is possible; whether it is."""
-        if not self.started and self.connection.pool.owner.stream_response(self.hop, self.connection.parser):
-            self.started = self.is_open = True
-            self.connection.set_receive_timeout(STREAM_STALL_TIMEOUT)
-            self.pass_on()
-        return self.started
-
-    def pass_on(self) -> bool:
-        """Write what has come since the last call; False if the client does not receive it."""
-        if not self.is_open:
-            return not self.started
-        piece = self.connection.parser.take_body()
-        self.is_open = not piece or self.hop.exchange.client.write_body(piece, False)
-        if not self.is_open:
-            self.hop.exchange.client.abort_response()
-        return self.is_open
-
-    def finish(self, response: Response) -> None:
-        """Write the rest of the complete response."""
-        if self.is_open:
-            self.is_open = False
-            if not self.hop.exchange.client.write_body(response.body, True):
-                self.hop.exchange.client.abort_response()
-
-    def abort(self) -> None:
-        """Break the answer off if it has not ended."""
-        if self.is_open:
-            self.is_open = False
-            self.hop.exchange.client.abort_response()
-
-
-def can_stream(parser: ResponseParser) -> bool:
-    """Whether the body of a success is coming."""
-    incoming = parser.incoming()
-    return incoming is not None and isinstance(incoming[0], Response) and incoming[0].status == SUCCESS
-
-
 def timeval(duration_us: int) -> bytes:
     """Return a struct timeval; never 0, which would be no limit."""
     return struct.pack("ll", duration_us // 1_000_000, max(1, duration_us % 1_000_000))
@@ -369,38 +320,6 @@
     return Outcome.ERROR
 
 
-class IdleResetTracker:
-    """Counts how often the first hop on an idle connection is reset, by idle time.
-
-    Servers, and devices in front of them, may silently drop idle connections earlier than configured.  A hop
-    on such a connection is reset, and a non-idempotent one can't be retried.  Idle times are grouped by
-    powers of two of microseconds, and old counts decay.
-    """
-
-    def __init__(self) -> None:
-        self.uses = [0.0] * 64
-        self.resets = [0.0] * 64
-
-    def record(self, idle_us: int, reset: bool) -> None:
-        """Count a use after an idle time, and whether it was reset."""
-        bucket = idle_us.bit_length()
-        self.uses[bucket] += 1
-        self.resets[bucket] += reset
-
-    def is_safe(self, idle_us: int) -> bool:
-        """Whether a connection idle for so long is reset about as rarely as others, or little is known."""
-        bucket = idle_us.bit_length()
-        mean_rate = sum(self.resets) / max(1.0, sum(self.uses))
-        return (
-            self.uses[bucket] < MIN_SAMPLES or self.resets[bucket] < (2 * mean_rate + 0.1) * self.uses[bucket]
-        )
-
-    def decay(self) -> None:
-        """Reduce the weight of all counts so far."""
-        self.uses = [count * DECAY for count in self.uses]
-        self.resets = [count * DECAY for count in self.resets]
-
-
 class Pool:
     """All connections to servers; methods need the dispatcher's lock unless they say otherwise."""
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -26,9 +26,10 @@
 from pumicepath.sidecar.delay_monitor import DelayMonitor
 from pumicepath.sidecar.dispatch import Dispatcher
 from pumicepath.sidecar.exchange import Exchange, Hop
+from pumicepath.sidecar.idle_resets import IdleResetTracker
 from pumicepath.sidecar.log import Log
 from pumicepath.sidecar.memory_account import MemoryAccount
-from pumicepath.sidecar.servers import IdleResetTracker, Pool
+from pumicepath.sidecar.servers import Pool
 from pumicepath.sidecar.watching import Watcher
 
 from .helpers import check_trace, make_entry
