Memory trials: 30 s until no memory is held, for what had arrived at a busy machine

Traced: the interpreted parser takes 0.22 s a megabyte, the clients' bytes that had arrived (up to 21 MB sent) are read to their end, one connection at a time. It is no leak: the same test passes with 30 s. The assertion stays: none may be held in the end.

--- a/pumicepath/lab/loopback/memory_trial.py
+++ b/pumicepath/lab/loopback/memory_trial.py
@@ -19,7 +19,7 @@
 HONEST_PAUSE_S = 0.1
 SLOW_SERVER_PAUSE_S = 0.1
 SETTLE_S = 1.0
-REST_S = 5.0  # longer than any deadline
+REST_S = 30.0  # longer than any deadline, and than a busy machine takes for what had arrived
 METRICS_POLL_S = 0.05
 KB_PER_MB = 1024
 
