Bulkheads: requests written ahead are taken up one client at a time

Cause: requests that go to servers passed no bulkhead, and hundreds of threads that each take up the next one of a hundred keep the interpreter.

Change: behind two requests in a row with more written behind them, a client's next ones are parsed and admitted one client at a time; clients that send one request at a time never come there. Not while it holds a slot, for which the one inside may wait.

--- a/pumicepath/sidecar/bulkhead.py
+++ b/pumicepath/sidecar/bulkhead.py
@@ -16,8 +16,8 @@
 class Bulkheads:
     """The kinds of work that are kept apart.
 
-    `transfers`: bodies beyond what came with their head; `local_answers`: requests that no server is needed
-    for, from a client that sends several of them in a row.
+    `transfers`: bodies beyond what came with their head; `local_answers`: taking up requests of a client that
+    sends several in a row which need no server, or behind which it has written more already.
     """
 
     def __init__(self) -> None:
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -41,7 +41,9 @@
 MEMORY_WAIT_US = 100_000  # for memory, until a request is refused for the lack of it
 MEMORY_POLL_S = 0.01
 HIDDEN_CLOSE_BYTES = 32 * 1024  # half of the least receive window that Linux offers
-FREE_LOCAL_ANSWERS = 2  # in a row, before a client's next ones are done one at a time with others'
+FREE_LOCAL_ANSWERS = (
+    2  # or pipelined requests, in a row, before a client's next ones are done one at a time with others'
+)
 # States of a connection.  FRESH: nothing received yet; PARTIAL: part of a request received; BUSY: a request
 # is being served; CLOSING: no further request is read; DRAINING: it was idle or fresh when its read side was
 # shut down, and a request that had already arrived by then is still served; DISCARDING: the request was
@@ -108,6 +110,7 @@
         self.memory = Reservation(owner.dispatcher.memory, MemoryKind.REQUESTS)
         self.transfers = BulkheadEntry(owner.dispatcher.bulkheads.transfers)
         self.local_work = BulkheadEntry(owner.dispatcher.bulkheads.local_answers)
+        self.pipelined = 0  # requests in a row behind which more had been read
         self.local_answers = 0  # in a row, to requests that no server was needed for
         self.thread_id = 0  # of its own thread
         self.unsent: list[bytes] = []  # of the answer, left to that thread by another one
@@ -158,7 +161,8 @@
         while True:
             if parser.state != START:
                 self.transfers.enter()
-            elif self.local_answers >= FREE_LOCAL_ANSWERS:
+            elif not self.holds_slot and max(self.local_answers, self.pipelined) >= FREE_LOCAL_ANSWERS:
+                # Not with a slot, for which whoever is inside may wait.
                 self.local_work.enter()
             try:
                 request = parser.next()
@@ -179,6 +183,7 @@
                     self.sock.sendall(writing.CONTINUE)
                 self.serve(request, received_at)
                 self.local_work.leave()
+                self.pipelined = 0 if parser.is_idle() else self.pipelined + 1
                 if self.upload is not None:
                     self.finish_upload(self.upload)
                     self.upload = None
@@ -352,6 +357,7 @@
             exchange = self.start_submission(request, received_at)
         finally:
             self.release_slot()
+        self.local_work.leave()
         if exchange is None:
             return
         self.local_answers = 0
@@ -405,7 +411,6 @@
                 not dispatcher.closes_connections() and not self.is_in_the_way(),
             )
             return None
-        self.local_work.leave()
         if not self.holds_slot:
             typical_latency = class_states[params.request_class].typical_latency
             self.holds_slot = dispatcher.admission_gate.enter(
--- a/tests/test_bulkheads.py
+++ b/tests/test_bulkheads.py
@@ -83,6 +83,25 @@
     assert_served(rig, flood, "after")
 
 
+# Hundreds of clients that wrote a hundred requests each without reading kept the core for themselves.
+def test_requests_written_ahead_do_not_delay_those_of_other_clients(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    flood, other = connect(rig), connect(rig)
+    parser = ResponseParser()
+    names = [f"ahead{at}" for at in range(FREE_LOCAL_ANSWERS + 3)]
+    with rig.dispatcher.bulkheads.local_answers:
+        for name in names[:FREE_LOCAL_ANSWERS]:
+            rig.deployment.script.put(http_response(200, name))
+        flood.sendall(b"".join(rig.request(name) for name in names))
+        for name in names[:FREE_LOCAL_ANSWERS]:
+            assert read_message(flood, parser).body.decode() == name
+        assert_served(rig, other, "short")
+        assert len(rig.deployment.transcript) == FREE_LOCAL_ANSWERS + 1
+    for name in names[FREE_LOCAL_ANSWERS:]:
+        rig.deployment.script.put(http_response(200, name))
+        assert read_message(flood, parser).body.decode() == name
+
+
 # The thread of the timers wrote final answers itself, and waited for clients that did not read theirs.
 def test_a_client_that_does_not_read_delays_no_other_clients_final_answer(tmp_path: Path) -> None:
     rig = Rig(tmp_path, servers=2)
