--- a/pumicepath/lab/loopback/memory_trial.py
+++ b/pumicepath/lab/loopback/memory_trial.py
@@ -35,6 +35,7 @@
     seed: int = 1
     expires_ms: int = 1000
     descriptors: int = 1024
+    interpreted: bool = False  # the sidecar runs without its compiled modules
 
 
 @dataclass
@@ -110,6 +111,8 @@
     """Run the sidecar of a deployment against one form of misuse."""
     deployment.configuration["limits"] = {"memory_mb": trial.memory_mb, "sockets": trial.descriptors}
     deployment.environment["GW_ADMIN_ADDR"] = "127.0.0.1:0"
+    if trial.interpreted:
+        deployment.environment["PUMICEPATH_INTERPRETED"] = "1"
     deployment.write_configuration()
     with deployment.running():
         pid = deployment.process.pid
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import fcntl
+import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
+from pumicepath.compiled import FORM
 from pumicepath.http1 import writing
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.hostile_clients import BEHAVIOURS
@@ -134,7 +138,16 @@
     assert {kind for kind in KINDS.values() if kind is not None} == set(MemoryKind)
 
 
+@pytest.fixture
+def alone() -> Iterator[None]:
+    """Run one crowd at a time, whatever the number of workers: each takes three cores."""
+    with (Path(tempfile.gettempdir()) / "pumicepath-crowd.lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
 # Processes passed their limit, and honest clients got no answer, beside a crowd (report 000ac8).
+@pytest.mark.usefixtures("alone")
 @pytest.mark.parametrize("form", BEHAVIOURS)
 def test_a_crowd_neither_takes_a_process_past_its_limit_nor_keeps_answers_from_honest_clients(
     form: str, tmp_path: Path
@@ -150,5 +163,15 @@
     kind = KINDS[form]
     assert kind is None or result.metrics[f"edge_gw.memory_peak.{kind}"] > 0
     assert result.metrics["edge_gw.memory_held"] == 0
-    assert result.served.lost == 0, result.served
     assert result.served.outcomes["served"] > 0
+    if (form, FORM == "compiled") != ("stopped chunks", False):  # that one is known red, below
+        assert result.served.lost == 0, result.served
+
+
+# Interpreted, a megabyte in chunks of two bytes takes 0.22 s of CPU, which a crowd turns into late answers.
+@pytest.mark.usefixtures("alone")
+def test_interpreted_a_crowd_with_small_chunks_delays_no_honest_client(tmp_path: Path) -> None:
+    trial = MemoryTrial("stopped chunks", MEMORY_MB, clients=400, expires_ms=1000, interpreted=True)
+    result = run_memory_trial(trial, tmp_path)
+    assert result.served.outcomes["served"] > 0
+    assert result.served.lost == 0, result.served
