Review, case 6: ids are taken again while a process is replaced; reserves run twice

Cause: `TraceIds.expire` keeps the id of an open exchange on in its own process only. The new process holds it until the time that it was told at the hand-over, and takes it then, while the old one still passes on the first answer.

Change: the case; the stand-ins can replace a process and ask at the operators' address.

--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -325,10 +325,11 @@
     """A sidecar as the operators start it, by the line `run` of the deploy file."""
 
     def __init__(self, record: Record, discovery: str, settings: dict, known: dict | None = None,
-                 name: str = "n0") -> None:
+                 name: str = "n0", replaces: Sidecar | None = None) -> None:
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self.port = free_port()
+        self.private = replaces.private if replaces is not None else self.folder / "tmp"  # $TMPDIR, common to both
+        self.port = replaces.port if replaces is not None else free_port()
         self.config = {"name": name, "listen": f"127.0.0.1:{self.port}", "discovery": discovery, "seed": "1f",
                        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings}
         if known is not None:
@@ -342,9 +343,8 @@
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config))
-        private = self.folder / "tmp"
-        private.mkdir(exist_ok=True)
-        environment = {**os.environ, "GW_CONFIG": str(path), "TMPDIR": str(private)}
+        self.private.mkdir(exist_ok=True)
+        environment = {**os.environ, "GW_CONFIG": str(path), "TMPDIR": str(self.private)}
         for key in ("GW_ADMIN_ADDR", "GW_PEERS_LISTEN", "PUMICEPATH_INTERPRETED"):
             environment.pop(key, None)
         self.started_at = time.monotonic()
@@ -368,6 +368,20 @@
             time.sleep(0.02)
         raise NotRun("the sidecar did not get ready")
 
+    def wait_serving(self, timeout: float = 6.0) -> float:
+        """Ask the operators' address until it says yes to `GET /healthcheck`; returns when it did."""
+        host, _, port = str(self.config["admin_addr"]).rpartition(":")
+        end = time.monotonic() + timeout
+        while time.monotonic() < end:
+            with suppress(OSError, ConnectionError, ValueError):
+                with socket.create_connection((host, int(port)), 1.0) as sock:
+                    sock.sendall(b"GET /healthcheck HTTP/1.1\r\nHost: operators\r\n\r\n")
+                    if " 200 " in Reader(sock).message().line + " ":
+                        self.record.note("yes from the operators' address")
+                        return time.monotonic()
+            time.sleep(0.02)
+        raise NotRun("no yes from the operators' address")
+
     def signal(self, number: int) -> None:
         assert self.process is not None
         with suppress(ProcessLookupError):
