Hold ids of another process's open requests until it tells their end, or has ended

Callers saw: while a process is replaced, the id of a request that is open at one process was free at the other once the time was over that stood there at the hand-over.

Cause: what one process knows of open requests was told as of one moment (hand-over or claim), while the id is held on, one longest deadline at a time, for as long as its request is open. Related: ids open for long without other requests were not handed over; ids of the new process were freed at the old one; processes in a chain of three knew nothing of each other's; a claim of an id whose last time was not over was dropped.

Change: claims and ends are told, and passed on to processes beyond. An id of another process is held until its end is told or that process has ended (a pidfd tells, so a stopped process or a broken channel frees nothing), and one hold more. The channel and the sharing of ids are modules of their own now. Older releases tell no ends: their times count as before. Rejected: renewing the time before it is over (a stopped process renews nothing).

--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -29,7 +29,7 @@
 from .memory_account import MemoryAccount, MemoryBudget, resident_bytes
 from .servers import Pool, ServerConnection
 from .timers import PostponedTimer, TimerQueue
-from .trace_ids import TraceIds
+from .trace_ids import IdInUse, RemoteProcess, TraceIds
 
 NO_DEADLINE_US = (1 << 63) - 1
 MAX_THREAD_DELAY_US = 10_000  # above this scheduling delay of our own threads, latency timers are postponed
@@ -42,6 +42,10 @@
     """Tell nobody that an id is in use: there is no other process."""
 
 
+def ignore_end(trace_id: str) -> None:
+    """Tell nobody that the exchange of an id has ended: there is no other process."""
+
+
 class Dispatcher:
     """Owns the balancer, the open exchanges and the timers, and is the balancer's host.
 
@@ -54,7 +58,9 @@
         self.combining_lock = CombiningLock(self.log_fault)
         self.timers = TimerQueue()
         self.exchanges: dict[int, Exchange] = {}
-        self.on_id_claimed: Callable[[str, int], None] = ignore_id  # with the lock held, must not block
+        # Both are called with the lock held, and must not block.
+        self.on_id_claimed: Callable[[str, int], None] = ignore_id
+        self.on_id_ended: Callable[[str], None] = ignore_end
         self.admitted = 0
         self.draining = False  # since SIGTERM
         self.shutdown_at = NO_DEADLINE_US  # when all admitted requests must be answered, set on SIGTERM
@@ -73,7 +79,7 @@
         self.memory = MemoryAccount(self.memory_budget.for_messages(1))
         self.pool = Pool(self, config, log)
         self.streaming: set[int] = set()  # exchanges whose answer is being streamed, by number
-        self.trace_ids = TraceIds(lambda number: number in self.exchanges or number in self.streaming)
+        self.trace_ids = TraceIds(self.is_open)
         self.balancer = Balancer(config.settings, config.seed, self)
         # Replaced as a whole: a thread reads it once per request and uses that one until the answer.
         self.active_config: ActiveConfig = (config, self.balancer.class_states)
@@ -228,7 +234,7 @@
 
         def call(now: int) -> None:
             connection.hop = None
-            self.streaming.discard(exchange.number)
+            self.end_streaming(exchange)
             if reuse:
                 self.pool.release(now, connection)
             else:
@@ -302,8 +308,8 @@
                 hop.connection.close()
             if not exchange.answered:
                 self.answer(exchange, answers.FAILED)
-            self.exchanges.pop(exchange.number, None)
-            self.streaming.discard(exchange.number)
+            self.remove(exchange)
+            self.end_streaming(exchange)
 
         self.run_locked(call)
 
@@ -337,9 +343,25 @@
     def remove_if_finished(self, exchange: Exchange) -> None:
         """Forget an exchange that has its final answer and no hop in flight; called with the lock held."""
         if exchange.is_finished():
-            self.exchanges.pop(exchange.number, None)
+            self.remove(exchange)
             exchange.hops.clear()  # breaks the reference cycle, so that both are freed at once
 
+    def remove(self, exchange: Exchange) -> None:
+        """Forget an exchange; called with the lock held."""
+        if self.exchanges.pop(exchange.number, None) is not None and not self.is_open(exchange.number):
+            self.on_id_ended(exchange.trace_id)
+
+    def end_streaming(self, exchange: Exchange) -> None:
+        """Note that the answer of an exchange is not being streamed any more; called with the lock held."""
+        if exchange.number in self.streaming:
+            self.streaming.discard(exchange.number)
+            if not self.is_open(exchange.number):
+                self.on_id_ended(exchange.trace_id)
+
+    def is_open(self, number: int) -> bool:
+        """Whether the exchange with a number is open or its answer is being streamed; needs the lock."""
+        return number in self.exchanges or number in self.streaming
+
     def closes_connections(self) -> bool:
         """Whether every response closes its connection, because this sidecar drains or is out of service."""
         return self.draining or self.out_of_service
@@ -360,22 +382,39 @@
         self.run_locked(call)
         return bool(accepted)
 
-    def hold_ids(self, ids: list[tuple[str, int]]) -> None:
-        """Keep ids that the other process of a hot restart uses, each until its time."""
+    def hold_ids(self, ids: list[tuple[str, int]], owner: RemoteProcess | None, is_whole: bool) -> None:
+        """Keep ids that another process uses, each until its time, and while it is open at the `owner`.
+
+        With `is_whole` the owner has no other ones open.
+        """
 
         def call(now: int) -> None:
+            if owner is not None and is_whole:
+                owner.open_ids.clear()
             for trace_id, until in ids:
-                self.trace_ids.hold(now, trace_id, until)
+                self.trace_ids.hold(now, trace_id, until, self.max_deadline, owner)
+
+        self.run_locked(call)
+
+    def end_ids(self, owner: RemoteProcess, ended: list[str]) -> None:
+        """Note that these exchanges of another process have ended."""
+        self.run_locked(lambda now: owner.open_ids.difference_update(ended))
+
+    def end_process(self, owner: RemoteProcess, grace: int) -> None:
+        """Note that another process has ended, or that it will have in `grace` microseconds."""
+
+        def call(now: int) -> None:
+            owner.ended_at = now + grace
 
         self.run_locked(call)
 
-    def ids_in_use(self) -> list[tuple[str, int]]:
-        """Return the ids in use, each with its time."""
+    def ids_in_use(self) -> list[IdInUse]:
+        """Return the ids in use, those of open exchanges last."""
 
         def call(now: int) -> None:
-            ids.extend((held.trace_id, held.until) for held in self.trace_ids.in_use(now))
+            ids.extend(self.trace_ids.in_use(now, self.max_deadline))
 
-        ids: list[tuple[str, int]] = []
+        ids: list[IdInUse] = []
         self.run_locked(call)
         return ids
 
--- a/pumicepath/sidecar/hot_restart.py
+++ b/pumicepath/sidecar/hot_restart.py
@@ -7,99 +7,32 @@
 from __future__ import annotations
 
 import os
+import secrets
 import socket
 import threading
-from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import Any, NamedTuple
 
-import orjson
-
 from ..discovery.server_list import Address
 from . import clock
 from .clients import Clients
 from .dispatch import Dispatcher
+from .handover_channel import Channel, ChannelError, open_peer_process, wait_for_end
+from .id_sharing import IdSharing, IdUpdate, decode_in_use, decode_update, encode_in_use
 from .servers import start_thread
+from .trace_ids import RemoteProcess
+
+__all__ = ["Channel", "ChannelError", "Handover", "HotRestart", "request_handover"]
 
 SOCKET_NAME = "pumicepath.succession"
 PROTOCOL_VERSION = 1
 # The old process has this long to answer a request for a handover.
 HANDOVER_TIMEOUT_S = 1.0
-# An operator's change waits this long for the other process to confirm it.
-CONFIRM_TIMEOUT_S = 0.5
-MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-ID_SHARING_TIMEOUT_S = 0.01  # longer than the other process takes, unless it hangs
-MAX_SHARED_IDS = 10_000  # at most 256 bytes each, within a message
-
-
-class ChannelError(Exception):
-    """The other process sent an invalid message or ended the channel."""
-
-
-class Channel:
-    """A Unix socket to the other process: one JSON message per line, in both directions."""
-
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock = sock
-        self.buffer = b""
-        self.write_lock = threading.RLock()
-        self.confirmation = threading.Condition()
-        self.last_sent = self.last_confirmed = 0  # numbers of messages that are to be confirmed
-        self.closed = False
-
-    def send(self, message: dict[str, Any], descriptors: tuple[int, ...] = ()) -> None:
-        """Send one message, with file descriptors; raises OSError if the channel is broken."""
-        data = orjson.dumps(message, option=orjson.OPT_APPEND_NEWLINE)
-        with self.write_lock:
-            if descriptors:
-                count = socket.send_fds(self.sock, [data], list(descriptors))
-                data = data[count:]
-            self.sock.sendall(data)
-
-    def receive(self) -> tuple[dict[str, Any], list[int]]:
-        """Return the next message and the file descriptors that arrived with it.
-
-        Raises ChannelError at the end of the channel and for a message that is too long or no object, OSError
-        if the channel is broken, ValueError for invalid JSON.
-        """
-        descriptors: list[int] = []
-        while b"\n" not in self.buffer:
-            data, received, _, _ = socket.recv_fds(self.sock, 65536, 4)
-            descriptors += received
-            self.buffer += data
-            if not data or len(self.buffer) > MAX_MESSAGE_BYTES:
-                for each in descriptors:
-                    os.close(each)
-                raise ChannelError("the channel was closed, or a message was too long")
-        line, _, self.buffer = self.buffer.partition(b"\n")
-        message = orjson.loads(line)
-        if not isinstance(message, dict):
-            raise ChannelError("the message is not an object")
-        return message, descriptors
-
-    def send_confirmed(self, message: dict[str, Any]) -> None:
-        """Have the other process apply a change, and wait until it has, at most `CONFIRM_TIMEOUT_S`.
-
-        The bound keeps an operator's call from hanging on a process that is stuck.
-        """
-        with self.confirmation:
-            self.last_sent += 1
-            number = self.last_sent
-        with suppress(OSError):
-            self.send({**message, "number": number})
-            with self.confirmation:
-                self.confirmation.wait_for(
-                    lambda: self.last_confirmed >= number or self.closed, CONFIRM_TIMEOUT_S
-                )
-
-    def close(self) -> None:
-        """Close the socket and release whoever waits for a confirmation."""
-        with self.confirmation:
-            self.closed = True
-            self.confirmation.notify_all()
-        self.sock.close()
+# A process that was asked to end is killed this long after the longest deadline at the earliest.
+KILLED_AFTER_US = 700_000
+PROCESS_NAME_BYTES = 8
 
 
 class Handover(NamedTuple):
@@ -107,7 +40,8 @@
 
     `listener` is None if the old process listens at another address. `out_of_service` and `back_in_service`
     have the servers that an operator has taken out, or put back, each with the time since when, in
-    microseconds of the sidecar's clock. `drained_by_operator`: clients are to be sent away.
+    microseconds of the sidecar's clock. `drained_by_operator`: clients are to be sent away. `process` is the
+    old process's name, or empty for an older release, and `ids_in_use` what it and others have in use.
     """
 
     channel: Channel
@@ -116,7 +50,8 @@
     out_of_service: dict[int, int]
     back_in_service: dict[int, int]
     drained_by_operator: bool
-    ids_in_use: list[tuple[str, int]]
+    ids_in_use: list[IdUpdate]
+    process: str
 
 
 def encode_times(times: dict[int, int]) -> list[list[int]]:
@@ -129,16 +64,6 @@
     return {int(server): clock.from_monotonic(int(time)) for server, time in times}
 
 
-def encode_ids(ids: list[tuple[str, int]]) -> list[list[Any]]:
-    """Encode ids for a message, with times of the machine's monotonic clock; the newest if there are many."""
-    return [[trace_id, clock.to_monotonic(until)] for trace_id, until in ids[-MAX_SHARED_IDS:]]
-
-
-def decode_ids(ids: list[list[Any]]) -> list[tuple[str, int]]:
-    """Decode what `encode_ids` has made; raises ValueError for anything else."""
-    return [(str(trace_id), clock.from_monotonic(int(until))) for trace_id, until in ids]
-
-
 def socket_path() -> Path | None:
     """Return where the serving process is reached, or None if $TMPDIR is not set."""
     folder = os.environ.get("TMPDIR", "")
@@ -159,8 +84,13 @@
         os.close(self.folder)
 
 
-def request_handover(listen: Address) -> Handover | None:
-    """Ask the process that serves at this address for a handover.
+def create_process_name() -> str:
+    """Return a name for this process that no other one has."""
+    return secrets.token_hex(PROCESS_NAME_BYTES)
+
+
+def request_handover(listen: Address, process: str = "") -> Handover | None:
+    """Ask the process that serves at this address for a handover; `process` is the name of this one.
 
     Returns None if there is none or it gives no valid answer in time: this process then starts from nothing,
     so that a socket that a dead process left behind cannot stop it from starting.
@@ -175,7 +105,7 @@
         with ShortPath(path) as short:
             sock.connect(short)
         channel = Channel(sock)
-        channel.send({"version": PROTOCOL_VERSION, "listen": list(listen)})
+        channel.send({"version": PROTOCOL_VERSION, "listen": list(listen), "process": process})
         answer, descriptors = channel.receive()
         if answer.get("version") != PROTOCOL_VERSION:
             raise ChannelError(f"version {answer.get('version')}")
@@ -190,47 +120,68 @@
             decode_times(answer["by_hand"]),
             decode_times(answer["returned"]),
             bool(answer["emptied"]),
-            decode_ids(answer.get("ids", [])),
+            decode_in_use(answer),
+            str(answer.get("process", "")),
         )
-    except (OSError, ChannelError, ValueError, TypeError, KeyError):
+    except (OSError, ChannelError, ValueError, TypeError, KeyError, AttributeError):
         for each in descriptors:
             os.close(each)
         sock.close()
         return None
 
 
-class ClaimedId(NamedTuple):
-    """An id that was claimed here; `shared` is set once the other processes have been told."""
+class ProcessLink:
+    """The channel to another process, and whose ids are known through it.
 
-    trace_id: str
-    until: int
-    shared: threading.Event
+    `peer` is the process at its other end, None for an older release; `others` are processes from which that
+    one passes on what it is told.  Each end knows the other's `process_descriptor` from the start.
+    """
 
+    def __init__(self, channel: Channel, peer: RemoteProcess | None) -> None:
+        self.channel = channel
+        self.peer = peer
+        self.others: dict[str, RemoteProcess] = {}
+        self.process_descriptor = open_peer_process(channel.sock)
 
-def wait_for(shared: threading.Event) -> None:
-    """Wait until an id has been shared, for a bounded time."""
-    shared.wait(ID_SHARING_TIMEOUT_S)
+    def process(self, name: str) -> RemoteProcess | None:
+        """Return the process with this name; None for an older release, which has none."""
+        if not name or self.peer is not None and self.peer.name == name:
+            return self.peer if name else None
+        return self.others.setdefault(name, RemoteProcess(name))
 
 
 class HotRestart:
     """A running process's channels to the process that it has replaced and to those that may replace it."""
 
     def __init__(
-        self, dispatcher: Dispatcher, clients: Clients, known_list: Callable[[], Any], listen: Address
+        self,
+        dispatcher: Dispatcher,
+        clients: Clients,
+        known_list: Callable[[], Any],
+        listen: Address,
+        process: str = "",
     ) -> None:
         self.dispatcher = dispatcher
         self.clients = clients
         self.known_list = known_list
         self.listen = list(listen)
-        self.channels: dict[Channel, None] = {}
-        self.claimed_ids: deque[ClaimedId] = deque(maxlen=MAX_SHARED_IDS)
-        self.id_claimed = threading.Event()
+        self.process = process or create_process_name()
+        self.links: dict[Channel, ProcessLink] = {}
+        self.id_sharing = IdSharing(dispatcher, self.process, lambda: bool(self.links), self.broadcast)
         self.superseded = False  # whether a new process accepts clients in this one's place
+        self.has_taken_over = threading.Event()
+
+    def follow(self, handover: Handover) -> None:
+        """Apply what the old process has handed over, and whatever it tells from now on."""
+        link = ProcessLink(handover.channel, RemoteProcess(handover.process) if handover.process else None)
+        self.links[handover.channel] = link
+        self.id_sharing.start()
+        for update in handover.ids_in_use:
+            self.apply_ids(link, update)
+        start_thread(lambda: self.serve_channel(link, False))
 
     def take_over(self, old_process: Channel) -> None:
         """Tell the old process that this one accepts clients now; the old one stops accepting them."""
-        self.channels[old_process] = None
-        self.start_sharing_ids()
         self.dispatcher.scale_connection_limit(1, 2)
         self.clients.scale_limit(2, 3)
         with suppress(OSError):
@@ -238,7 +189,7 @@
         # Logged only after the message is sent: whoever reads the log may end this process then.  If the old
         # one did not know by that time that it had stopped accepting, it would never log that it is alone.
         self.dispatcher.events.event("succeeding")
-        start_thread(lambda: self.serve_channel(old_process, False))
+        self.has_taken_over.set()
 
     def open_socket(self) -> None:
         """Listen for a process that is to replace this one; without $TMPDIR none can."""
@@ -270,14 +221,24 @@
             except OSError as error:
                 self.dispatcher.events.event("no_succession", text=str(error))
                 return
-            start_thread(lambda channel=channel: self.serve_channel(channel, True))  # type: ignore[misc]
+            start_thread(lambda channel=channel: self.serve_new_process(channel))  # type: ignore[misc]
+
+    def serve_new_process(self, channel: Channel) -> None:
+        """Hand over to a new process, and handle its messages until the channel ends."""
+        try:
+            link = self.hand_over(channel)
+        except (OSError, ChannelError, ValueError, TypeError, KeyError) as error:
+            self.log_fault(error)
+            self.links.pop(channel, None)
+            channel.close()
+        else:
+            self.serve_channel(link, True)
 
-    def serve_channel(self, channel: Channel, to_new_process: bool) -> None:
+    def serve_channel(self, link: ProcessLink, to_new_process: bool) -> None:
         """Handle the messages of the other process until the channel ends."""
+        channel = link.channel
         new_process_serves = False
         try:
-            if to_new_process:
-                self.hand_over(channel)
             while True:
                 message, _ = channel.receive()
                 if message.get("taking") and to_new_process:
@@ -285,20 +246,13 @@
                     self.clients.pause_accepting(True)
                     self.dispatcher.scale_connection_limit(1, 2)
                     self.dispatcher.events.event("succeeded", clients=len(self.clients.open))
-                if "done" in message:
-                    with channel.confirmation:
-                        channel.last_confirmed = max(channel.last_confirmed, int(message["done"]))
-                        channel.confirmation.notify_all()
-                if "ids" in message:
-                    self.dispatcher.hold_ids(decode_ids(message["ids"]))
-                if "number" in message:
-                    self.apply(message)
-                    channel.send({"done": message["number"]})
+                self.handle_message(link, message)
         except (OSError, ChannelError, ValueError, TypeError, KeyError, IndexError) as error:
-            if not isinstance(error, (OSError, ChannelError)):
-                self.dispatcher.events.event("fault", text=f"{type(error).__name__}: {error}")
+            self.log_fault(error)
         finally:
-            self.channels.pop(channel, None)
+            if not to_new_process:
+                self.has_taken_over.wait()
+            self.links.pop(channel, None)
             channel.close()
             if new_process_serves:
                 # The new process has gone before this one was asked to end: this one accepts clients again.
@@ -308,18 +262,51 @@
                 self.dispatcher.scale_connection_limit(1, 1)
                 self.clients.scale_limit(1, 1)
                 self.dispatcher.events.event("alone")
-
-    def hand_over(self, channel: Channel) -> None:
+        self.end_link(link)
+
+    def handle_message(self, link: ProcessLink, message: dict[str, Any]) -> None:
+        """Apply what another process tells, pass ids on to all others, and confirm changes."""
+        if "done" in message:
+            link.channel.note_confirmed(int(message["done"]))
+        if "ids" in message:
+            self.apply_ids(link, decode_update(message))
+            self.broadcast(message, link.channel)
+        if "number" in message:
+            number = message.pop("number")
+            self.apply(message)
+            link.channel.send({"done": number})
+
+    def end_link(self, link: ProcessLink) -> None:
+        """Wait for the end of the process whose channel has ended, then have its ids freed in time.
+
+        What it has open may run on for as long as it lives, also without a channel.  Of the processes known
+        through it, older ones were asked to end before it served, and newer ones outlive this one.
+        """
+        for process in link.others.values():
+            self.dispatcher.end_process(process, self.dispatcher.max_deadline + KILLED_AFTER_US)
+        wait_for_end(link.process_descriptor)
+        if link.peer is not None:
+            self.dispatcher.end_process(link.peer, 0)
+
+    def log_fault(self, error: Exception) -> None:
+        """Log an error of a channel, unless it has only ended."""
+        if not isinstance(error, (OSError, ChannelError)):
+            self.dispatcher.events.event("fault", text=f"{type(error).__name__}: {error}")
+
+    def hand_over(self, channel: Channel) -> ProcessLink:
         """Answer a new process's request; it gets the listening socket if it serves at the same address."""
         message, _ = channel.receive()
         dispatcher = self.dispatcher
+        name = str(message.get("process", ""))
+        link = ProcessLink(channel, RemoteProcess(name) if name else None)
         with channel.write_lock:
             # Changes from now on are sent after the answer, and may also be contained in it.
-            self.channels[channel] = None
+            self.links[channel] = link
+            self.id_sharing.start()
             out_of_service, back_in_service = dispatcher.operator_state()
-            self.start_sharing_ids()
             answer = {
-                "ids": encode_ids(dispatcher.ids_in_use()),
+                **encode_in_use(dispatcher.ids_in_use(), self.process),
+                "process": self.process,
                 "version": PROTOCOL_VERSION,
                 "known": self.known_list(),
                 "emptied": dispatcher.out_of_service,
@@ -329,6 +316,7 @@
             }
             same_address = message.get("listen") == self.listen
             channel.send(answer, (self.clients.listener.fileno(),) if same_address else ())
+        return link
 
     def apply(self, message: dict[str, Any]) -> None:
         """Apply a change that an operator has made at the other process."""
@@ -337,37 +325,21 @@
         if "emptied" in message:
             self.clients.set_out_of_service(bool(message["emptied"]))
 
-    def start_sharing_ids(self) -> None:
-        """Tell the other process of each id that is claimed from now on: both act as one towards clients."""
-        if self.dispatcher.on_id_claimed != self.note_id:
-            self.dispatcher.on_id_claimed = self.note_id
-            start_thread(self.share_ids)
-
-    def note_id(self, trace_id: str, until: int) -> None:
-        """Queue an id for the other processes; called with the dispatcher's lock held.
-
-        Once that is free the request waits until they have been told, or for ID_SHARING_TIMEOUT_S.
-        """
-        if self.channels:
-            shared = threading.Event()
-            self.claimed_ids.append(ClaimedId(trace_id, until, shared))
-            self.id_claimed.set()
-            self.dispatcher.do_after_unlock(lambda: wait_for(shared))
-
-    def share_ids(self) -> None:
-        """Send queued ids as they come; the body of a thread."""
-        while True:
-            self.id_claimed.wait()
-            self.id_claimed.clear()
-            claimed = [self.claimed_ids.popleft() for _ in range(len(self.claimed_ids))]
-            message = {"ids": encode_ids([(each.trace_id, each.until) for each in claimed])}
-            for channel in list(self.channels) if claimed else ():
+    def apply_ids(self, link: ProcessLink, update: IdUpdate) -> None:
+        """Apply what another process tells of its ids."""
+        owner = link.process(update.process)
+        self.dispatcher.hold_ids(update.claimed, owner, update.is_whole)
+        if owner is not None and update.ended:
+            self.dispatcher.end_ids(owner, update.ended)
+
+    def broadcast(self, message: dict[str, Any], source: Channel | None = None) -> None:
+        """Send a message to all connected processes but its source."""
+        for channel in list(self.links):
+            if channel is not source:
                 with suppress(OSError):  # that process has ended
                     channel.send(message)
-            for each in claimed:
-                each.shared.set()
 
     def propagate(self, message: dict[str, Any]) -> None:
         """Have all connected processes apply an operator's change, and wait for each of them."""
-        for channel in list(self.channels):
+        for channel in list(self.links):
             channel.send_confirmed(message)
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -25,7 +25,7 @@
 from .clients import Clients
 from .config import Config, ConfigError
 from .dispatch import Dispatcher
-from .hot_restart import Handover, HotRestart, request_handover
+from .hot_restart import Handover, HotRestart, create_process_name, request_handover
 from .log import Log
 from .servers import start_thread
 from .watching import Watcher
@@ -72,7 +72,8 @@
     log = Log(config.name)
     server_list = ServerList(config.zones, clock.from_unix_ms, config.kinds)
     config = with_list_numbers(config, server_list)
-    handover = request_handover(config.listen) if config.admin else None
+    process_name = create_process_name()
+    handover = request_handover(config.listen, process_name) if config.admin else None
     known, raw_list = initial_list(server_list, config, handover)
     relay_selector = create_relay_selector(config)
     watch = Watch(
@@ -93,7 +94,7 @@
         raise ConfigError(f"cannot listen on {format_address(config.listen)}: {error.strerror}") from error
     # With the actual port, which the file may leave to the kernel (port 0): a new process may know only this.
     serving = config.listen._replace(port=clients.listener.getsockname()[1])
-    hot_restart = HotRestart(dispatcher, clients, watch.export_state, serving)
+    hot_restart = HotRestart(dispatcher, clients, watch.export_state, serving, process_name)
     peers = create_peers(config, log, handover is not None)
     try:
         admin_server = (
@@ -112,7 +113,7 @@
     if handover is not None:
         dispatcher.inherit_operator_state(handover.out_of_service, handover.back_in_service)
         dispatcher.out_of_service = handover.drained_by_operator
-        dispatcher.hold_ids(handover.ids_in_use)
+        hot_restart.follow(handover)
     dispatcher.update_servers(ListKind.CACHED, known)
     if config.pushed:
         watcher.request_list()
--- /dev/null
+++ b/tests/test_shared_ids.py
@@ -0,0 +1,252 @@
+"""An id is in use in all processes of a hot restart, for as long as its request is open in one of them."""
+
+from __future__ import annotations
+
+import queue
+import signal
+import socket
+import subprocess
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from pumicepath.http1 import writing
+from pumicepath.http1.messages import Request
+from pumicepath.http1.parsing import RequestParser, ResponseParser
+from pumicepath.lab.loopback.scripted import ScriptedServer, http_response, read_message
+
+from .rig import read_status, wait_until
+from .test_hot_restart import restartable_deployment, start_replacement
+
+DEADLINE_S = 0.3  # the longest of the deployment: for so long an id is held at a time
+LONG_BYTES = 200_000
+PAUSE_S = 0.05  # between bytes of an answer: without any for seconds it would be broken off
+SEVERAL_HOLDS_S = 5 * DEADLINE_S
+
+
+class HalfAnswerServer(ScriptedServer):
+    """Records the ids of requests that have begun or come whole; answers those for /long with a long body.
+
+    The second half of that comes slowly, and all of its rest once `goes_on` is set.
+    """
+
+    goes_on: threading.Event
+    begun: set[str]
+
+    def serve(self, sock: socket.socket) -> None:
+        parser = RequestParser(1 << 20)
+        with sock, suppress(OSError):
+            while (request := self.read_request(sock, parser)) is not None:
+                self.transcript.append(request.header("X-Trace-Id"))
+                answer = http_response(200, "x" * LONG_BYTES if request.target == "/long" else "short")
+                sock.sendall(answer[: LONG_BYTES // 2])
+                sent = LONG_BYTES // 2
+                while request.target == "/long" and not self.goes_on.wait(PAUSE_S):
+                    sock.sendall(answer[sent : sent + 1])
+                    sent += 1
+                sock.sendall(answer[sent:])
+
+    def read_request(self, sock: socket.socket, parser: RequestParser) -> Request | None:
+        while (request := parser.next()) is None:
+            if (incoming := parser.incoming()) is not None:
+                self.begun.add(incoming[0].header("X-Trace-Id"))
+            if not (data := sock.recv(65536)):
+                return None
+            parser.feed(data)
+        assert isinstance(request, Request)
+        return request
+
+
+class SharedIdsRig:
+    """Processes of one sidecar, and requests that are open at one of them."""
+
+    def __init__(self, folder: Path) -> None:
+        self.deployment = restartable_deployment(folder, 0)
+        self.runs: list[str] = []
+        self.goes_on = threading.Event()
+        self.served = 0
+        server = HalfAnswerServer("s-0", queue.SimpleQueue(), self.runs)
+        server.goes_on, server.begun = self.goes_on, set()
+        self.server = server
+        self.deployment.servers = [server]
+        self.deployment.configuration["known"] = self.deployment.list_document(1, True, "active")
+        for request_class in self.deployment.configuration["settings"]["tariffs"]:
+            request_class.update(patienceS=DEADLINE_S, agreedTimeS=DEADLINE_S / 2)
+        self.deployment.write_configuration()
+
+    def connect(self) -> socket.socket:
+        """Connect to whichever process accepts clients."""
+        return socket.create_connection(self.deployment.address)
+
+    def ask(self, trace_id: str, sock: socket.socket | None = None) -> int:
+        """Send a short request with this id, on a new connection unless one is given; return its status."""
+        with sock.dup() if sock is not None else self.connect() as used:
+            used.sendall(writing.request("POST", "/short", headers(trace_id), b""))
+            return read_status(used)
+
+    def open_answer(self, trace_id: str, sock: socket.socket) -> Callable[[], bool]:
+        """Send a request whose answer is long and stops half-way; the result ends it, whether it is whole."""
+        sock.sendall(writing.request("POST", "/long", headers(trace_id), b""))
+        assert sock.recv(1, socket.MSG_PEEK)
+
+        def finish() -> bool:
+            self.goes_on.set()
+            answer = read_message(sock, ResponseParser(1 << 20))
+            return answer is not None and len(answer.body) == LONG_BYTES
+
+        return finish
+
+    def open_body(self, trace_id: str, sock: socket.socket) -> Callable[[], bool]:
+        """Send a request whose long body stops half-way; the result ends it, whether it was served."""
+        sock.sendall(writing.request("POST", "/short", headers(trace_id), b"", LONG_BYTES))
+        sock.sendall(bytes(LONG_BYTES // 2))
+        wait_until(lambda: trace_id in self.server.begun)
+
+        def finish() -> bool:
+            sock.sendall(bytes(LONG_BYTES // 2))
+            return read_status(sock) == 200
+
+        return finish
+
+    def check_refused(self, trace_id: str, sock: socket.socket | None = None) -> None:
+        """Check that an id is refused for longer than any process holds it at a time."""
+        end = time.monotonic() + SEVERAL_HOLDS_S
+        while time.monotonic() < end:
+            assert not self.is_free(trace_id, sock)
+
+    def is_free(self, trace_id: str, sock: socket.socket | None = None) -> bool:
+        """Whether a request with this id is served; one served before it keeps the connection open."""
+        self.served += 1
+        assert self.ask(f"served {self.served}", sock) == 200
+        status = self.ask(trace_id, sock)
+        assert status in (200, 409)
+        return status == 200
+
+    def check_runs(self, trace_id: str, count: int) -> None:
+        """Check how often a request has run."""
+        assert Counter(self.runs)[trace_id] == count, self.runs
+
+
+def headers(trace_id: str) -> list[tuple[str, str]]:
+    return [("Host", "api"), ("X-Trace-Id", trace_id), ("X-Qos", "once")]
+
+
+def kill(process: subprocess.Popen) -> None:
+    process.kill()
+    process.wait()
+
+
+# A reserve ran twice: the new process freed its id, of which it knew the time at the hand-over (review/6).
+@pytest.mark.parametrize("what", ["answer", "body"])
+@pytest.mark.parametrize("opened", ["before", "during"])
+def test_an_id_open_at_the_old_process_stays_refused_at_the_new_one(
+    opened: str, what: str, tmp_path: Path
+) -> None:
+    rig = SharedIdsRig(tmp_path)
+    start = rig.open_answer if what == "answer" else rig.open_body
+    with rig.deployment.running() as deployment:
+        kept = deployment.client_socket
+        assert rig.ask("kept", kept) == 200
+        if opened == "before":
+            finish = start("open", kept)
+        old, _ = start_replacement(deployment)
+        if opened == "during":
+            finish = start("open", kept)
+        rig.check_refused("open")
+        assert finish()
+        rig.check_runs("open", 1)
+        wait_until(lambda: rig.is_free("open"))  # free again
+        kill(old)
+
+
+# The same the other way round: the old process forgot ids of the new one, which its own clients used again.
+@pytest.mark.parametrize("what", ["answer", "body"])
+def test_an_id_open_at_the_new_process_stays_refused_at_the_old_one(what: str, tmp_path: Path) -> None:
+    rig = SharedIdsRig(tmp_path)
+    with rig.deployment.running() as deployment:
+        kept = deployment.client_socket
+        assert rig.ask("kept", kept) == 200
+        old, _ = start_replacement(deployment)
+        finish = (rig.open_answer if what == "answer" else rig.open_body)("open", rig.connect())
+        rig.check_refused("open", kept)
+        assert finish()
+        rig.check_runs("open", 1)
+        wait_until(lambda: rig.is_free("open", kept))
+        kill(old)
+
+
+# An id that had been open for long was not handed over at all if no request had come meanwhile.
+def test_an_id_open_for_long_without_other_requests_is_handed_over(tmp_path: Path) -> None:
+    rig = SharedIdsRig(tmp_path)
+    with rig.deployment.running() as deployment:
+        finish = rig.open_answer("open", deployment.client_socket)
+        opened_at = time.monotonic()
+        wait_until(lambda: time.monotonic() - opened_at > SEVERAL_HOLDS_S)
+        old, _ = start_replacement(deployment)
+        rig.check_refused("open")
+        assert finish()
+        kill(old)
+
+
+# A third process knew nothing of the first one's requests, nor the first one of the third's.
+def test_ids_are_told_past_a_process_that_is_replaced_itself(tmp_path: Path) -> None:
+    rig = SharedIdsRig(tmp_path)
+    with rig.deployment.running() as deployment:
+        of_first = [deployment.client_socket, rig.connect()]
+        assert [rig.ask(f"kept {at}", sock) for at, sock in enumerate(of_first)] == [200, 200]
+        finish = rig.open_answer("first", of_first[0])
+        first, _ = start_replacement(deployment)
+        second, _ = start_replacement(deployment)
+        finish_third = rig.open_answer("third", rig.connect())
+        rig.check_refused("first")
+        rig.check_refused("third", of_first[1])
+        second.send_signal(signal.SIGTERM)
+        assert second.wait(timeout=20) == 0
+        rig.check_runs("first", 1)
+        rig.check_runs("third", 1)
+        assert finish() and finish_third()
+        wait_until(lambda: rig.is_free("first"))
+        kill(first)
+
+
+# Ids that were never freed would fill the memory; freed too early, their requests could run twice.
+def test_ids_of_a_process_that_was_killed_are_freed_after_one_hold(tmp_path: Path) -> None:
+    rig = SharedIdsRig(tmp_path)
+    with rig.deployment.running() as deployment:
+        rig.open_answer("open", deployment.client_socket)
+        old, _ = start_replacement(deployment)
+        rig.check_refused("open")
+        killed_at = time.monotonic()
+        kill(old)
+        wait_until(lambda: rig.is_free("open"))
+        assert time.monotonic() - killed_at >= DEADLINE_S
+
+
+def test_ids_of_a_process_that_is_stopped_stay_refused(tmp_path: Path) -> None:
+    """It can tell nothing then, and goes on with its requests later."""
+    rig = SharedIdsRig(tmp_path)
+    with rig.deployment.running() as deployment:
+        finish = rig.open_answer("open", deployment.client_socket)
+        old, _ = start_replacement(deployment)
+        old.send_signal(signal.SIGSTOP)
+        rig.check_refused("open")
+        old.send_signal(signal.SIGCONT)
+        assert finish()
+        wait_until(lambda: rig.is_free("open"))
+        kill(old)
+
+
+def test_ids_of_a_process_that_drains_stay_refused_until_it_ends(tmp_path: Path) -> None:
+    rig = SharedIdsRig(tmp_path)
+    with rig.deployment.running() as deployment:
+        rig.open_answer("open", deployment.client_socket)
+        old, _ = start_replacement(deployment)
+        old.send_signal(signal.SIGTERM)
+        while old.poll() is None:
+            assert rig.ask("open") == 409 or old.poll() is not None
+        wait_until(lambda: rig.is_free("open"))
