Apply what the old process told since the hand-over before clients are accepted

Callers could see: an id taken at the old process during the 0.3 to 2 s between the hand-over and the first client of the new one was free there for a moment, and a server taken out by hand then got requests.

Cause: the channel was read only after clients were accepted, and ids claimed before that were not told.

Not played with processes: no order that a test can force shows the gap.

--- a/pumicepath/sidecar/hot_restart.py
+++ b/pumicepath/sidecar/hot_restart.py
@@ -180,6 +180,14 @@
             self.apply_ids(link, update)
         start_thread(lambda: self.serve_channel(link, False))
 
+    def catch_up(self, old_process: Channel) -> None:
+        """Wait until what the old process told before this call has been applied, for a bounded time.
+
+        To be called before clients are accepted: their requests may have ids that were claimed there since
+        the handover, and must not go to servers that operators took out of service since then.
+        """
+        old_process.send_confirmed({})
+
     def take_over(self, old_process: Channel) -> None:
         """Tell the old process that this one accepts clients now; the old one stops accepting them."""
         self.dispatcher.scale_connection_limit(1, 2)
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -145,6 +145,8 @@
         **({"peers": peers.listen_address} if peers is not None else {}),
         **({"relays": len(config.relays)} if config.relays else {}),
     )
+    if handover is not None:
+        hot_restart.catch_up(handover.channel)
     start_thread(clients.overflow.run)
     start_thread(clients.run)
     if admin_server is not None:
--- a/tests/test_shared_ids.py
+++ b/tests/test_shared_ids.py
@@ -15,12 +15,17 @@
 
 import pytest
 
+from pumicepath.discovery.server_list import Address
 from pumicepath.http1 import writing
 from pumicepath.http1.messages import Request
 from pumicepath.http1.parsing import RequestParser, ResponseParser
 from pumicepath.lab.loopback.scripted import ScriptedServer, http_response, read_message
+from pumicepath.sidecar import clock
+from pumicepath.sidecar.dispatch import Dispatcher
+from pumicepath.sidecar.hot_restart import HotRestart, request_handover
+from pumicepath.sidecar.id_sharing import IdUpdate, encode_update
 
-from .rig import read_status, wait_until
+from .rig import Rig, paused, read_status, wait_until
 from .test_hot_restart import restartable_deployment, start_replacement
 
 DEADLINE_S = 0.3  # the longest of the deployment: for so long an id is held at a time
@@ -250,3 +255,31 @@
         while old.poll() is None:
             assert rig.ask("open") == 409 or old.poll() is not None
         wait_until(lambda: rig.is_free("open"))
+
+
+# What the old process told between the hand-over and the first client was read only after that client.
+def test_what_was_told_since_the_handover_is_applied_before_clients_are_accepted(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    (tmp_path / "old").mkdir()
+    (tmp_path / "new").mkdir()
+    old_rig, new_rig = Rig(tmp_path / "old"), Rig(tmp_path / "new")
+    listen = Address(*old_rig.clients.listener.getsockname())
+    old = HotRestart(old_rig.dispatcher, old_rig.clients, dict, listen)
+    old.open_socket()
+    new = HotRestart(new_rig.dispatcher, new_rig.clients, dict, listen)
+    handover = request_handover(listen, new.process)
+    assert handover is not None
+    with paused(monkeypatch, Dispatcher, "hold_ids") as (reached, resume):
+        threading.Thread(target=new.follow, args=(handover,), daemon=True).start()
+        resume.release()  # what was handed over
+        update = IdUpdate(old.process, [("open", clock.now() + 1_000_000)], [])
+        old.broadcast(encode_update(update))
+        assert reached.acquire(timeout=20) and reached.acquire(timeout=20)
+        catching_up = threading.Thread(target=new.catch_up, args=(handover.channel,), daemon=True)
+        catching_up.start()
+        wait_until(lambda: handover.channel.last_sent)
+        resume.release()
+        catching_up.join(20)
+        assert "open" in new_rig.dispatcher.trace_ids.held
