Hold the id of a long body for the deadline that begins with its last byte

Callers could see: after a long body whose server's connection broke behind the last byte, the same id was free at once, while that server may still run the request: twice under one id.

Cause: an id's time is counted from the head, a long body's deadline from its last byte, and its exchange ends with the answer. Change: with the last byte the id is held for that deadline, and the other processes are told.

Measured: the new test got 502 (sent on) before the change and 409 with it; tests/test_trace_ids.py 11 passed.

--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -221,6 +221,10 @@
                 exchange.end_upload(now)
                 return
             exchange.submission.body_complete(now, hop.number, exchange.deadline_at)
+            # From here on a server may run it, and may do so up to the deadline, whatever becomes of the hop.
+            until = min(exchange.deadline_at, now + self.max_deadline)
+            self.trace_ids.prolong(exchange.trace_id, until)
+            self.on_id_claimed(exchange.trace_id, until)
             self.set_timer(exchange.deadline_at, exchange)
 
         self.run_locked(call)
--- a/tests/test_trace_ids.py
+++ b/tests/test_trace_ids.py
@@ -93,6 +93,24 @@
     assert ask_again(rig) == 200  # its time is over, and it has ended
 
 
+# A server that had the whole body may run it after its connection has broken; the id was free at once.
+def test_the_id_of_a_long_body_is_held_for_its_deadline_from_the_last_byte_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("pumicepath.lab.loopback.scripted.RequestParser", lambda: RequestParser(1 << 20))
+    rig = Rig(tmp_path)
+    longest_deadline, rig.dispatcher.max_deadline = rig.dispatcher.max_deadline, 1  # us: over at once
+    sender, client = start_client(rig)
+    sender.sendall(writing.request("POST", "/long", HEADERS, b"", LONG_BODY_BYTES))
+    sender.sendall(bytes(LONG_BODY_BYTES // 2))
+    wait_until(lambda: client.upload is not None and client.upload.started)
+    rig.dispatcher.max_deadline = longest_deadline
+    rig.deployment.script.put("reset")
+    sender.sendall(bytes(LONG_BODY_BYTES // 2))
+    assert read_status(sender) == 502
+    assert ask_again(rig) == 409
+
+
 def test_the_id_of_a_request_whose_answer_is_being_streamed_is_refused(tmp_path: Path) -> None:
     rig = Rig(tmp_path)
     rig.dispatcher.max_deadline = 1  # us: over at once
