Tests: reserve ports until they are bound, and end every process that a test has started

Cause: tests. Change: a socket that is bound and does not listen keeps the port while the deployment lives; a deployment ends all processes that it has started. The new tests of shared ids speak to the newest process only where that matters: the one before may still accept a connection for up to 0.2 s, which drains or is stopped with it.

--- a/pumicepath/lab/loopback/scripted.py
+++ b/pumicepath/lab/loopback/scripted.py
@@ -170,6 +170,20 @@
         self.last_submission = 0
         self.environment: dict[str, str] = {}
         self.logs: dict[subprocess.Popen, EventLog] = {}
+        self.reserved_ports: list[socket.socket] = []
+
+    def reserve_address(self) -> str:
+        """Returns an address for a sidecar whose port nobody else gets while this object lives.
+
+        The socket is bound and does not listen.  Sidecars with an admin address share their port
+        (SO_REUSEPORT), others can't use it.
+        """
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        reserved.bind(("127.0.0.1", 0))
+        self.reserved_ports.append(reserved)
+        return f"127.0.0.1:{reserved.getsockname()[1]}"
 
     def write_configuration(self) -> None:
         """Writes the current configuration to the file that the next process reads."""
@@ -197,7 +211,10 @@
 
     @contextmanager
     def running(self) -> Iterator[Deployment]:
-        """Runs the sidecar and connects a client; kills the sidecar at the end."""
+        """Runs the sidecar and connects a client; kills all processes that were started at the end.
+
+        One that was left over would go on calling its discovery, at a port that other tests get.
+        """
         self.process = self.start_process()
         try:
             started = self.next_event("started")
@@ -209,8 +226,9 @@
             self.client_parser = ResponseParser()
             yield self
         finally:
-            self.process.kill()
-            self.process.wait()
+            for process in self.logs:
+                process.kill()
+                process.wait()
 
     def start_process(self) -> subprocess.Popen:
         """Starts a sidecar process with the current configuration file and reads its log."""
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -144,8 +144,7 @@
 
 def replaceable_deployment(folder: Path, count: int) -> RelayDeployment:
     deployment = RelayDeployment(folder, count, admin_addr="127.0.0.1:0")
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        deployment.write_config(listen=f"127.0.0.1:{free.getsockname()[1]}")
+    deployment.write_config(listen=deployment.reserve_address())
     deployment.environment = {"TMPDIR": str(folder)}
     return deployment
 
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -36,8 +36,7 @@
 
 def restartable_deployment(folder: Path, servers: int) -> Deployment:
     deployment = Deployment(folder, servers, admin_addr="127.0.0.1:0")
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        deployment.configuration["listen"] = f"127.0.0.1:{free.getsockname()[1]}"
+    deployment.configuration["listen"] = deployment.reserve_address()
     deployment.write_configuration()
     deployment.environment = {"TMPDIR": str(folder)}
     return deployment
--- a/tests/test_shared_ids.py
+++ b/tests/test_shared_ids.py
@@ -84,8 +84,23 @@
             request_class.update(patienceS=DEADLINE_S, agreedTimeS=DEADLINE_S / 2)
         self.deployment.write_configuration()
 
+    def replace(self) -> subprocess.Popen:
+        """Start a new process, and return the old one."""
+        old, _ = start_replacement(self.deployment)
+        return old
+
+    def connect_to_newest(self) -> socket.socket:
+        """Connect to the newest process; the one before may still accept connections for a moment."""
+        while True:
+            sock, before = self.connect(), self.deployment.metrics()["edge_gw.answered.once"]
+            self.served += 1
+            assert self.ask(f"served {self.served}", sock) == 200
+            if self.deployment.metrics()["edge_gw.answered.once"] > before:
+                return sock
+            sock.close()
+
     def connect(self) -> socket.socket:
-        """Connect to whichever process accepts clients."""
+        """Connect to one of the processes that accept clients."""
         return socket.create_connection(self.deployment.address)
 
     def ask(self, trace_id: str, sock: socket.socket | None = None) -> int:
@@ -159,7 +174,7 @@
         assert rig.ask("kept", kept) == 200
         if opened == "before":
             finish = start("open", kept)
-        old, _ = start_replacement(deployment)
+        old = rig.replace()
         if opened == "during":
             finish = start("open", kept)
         rig.check_refused("open")
@@ -176,8 +191,8 @@
     with rig.deployment.running() as deployment:
         kept = deployment.client_socket
         assert rig.ask("kept", kept) == 200
-        old, _ = start_replacement(deployment)
-        finish = (rig.open_answer if what == "answer" else rig.open_body)("open", rig.connect())
+        old = rig.replace()
+        finish = (rig.open_answer if what == "answer" else rig.open_body)("open", rig.connect_to_newest())
         rig.check_refused("open", kept)
         assert finish()
         rig.check_runs("open", 1)
@@ -192,7 +207,7 @@
         finish = rig.open_answer("open", deployment.client_socket)
         opened_at = time.monotonic()
         wait_until(lambda: time.monotonic() - opened_at > SEVERAL_HOLDS_S)
-        old, _ = start_replacement(deployment)
+        old = rig.replace()
         rig.check_refused("open")
         assert finish()
         kill(old)
@@ -205,9 +220,9 @@
         of_first = [deployment.client_socket, rig.connect()]
         assert [rig.ask(f"kept {at}", sock) for at, sock in enumerate(of_first)] == [200, 200]
         finish = rig.open_answer("first", of_first[0])
-        first, _ = start_replacement(deployment)
-        second, _ = start_replacement(deployment)
-        finish_third = rig.open_answer("third", rig.connect())
+        first = rig.replace()
+        second = rig.replace()
+        finish_third = rig.open_answer("third", rig.connect_to_newest())
         rig.check_refused("first")
         rig.check_refused("third", of_first[1])
         second.send_signal(signal.SIGTERM)
@@ -224,11 +239,12 @@
     rig = SharedIdsRig(tmp_path)
     with rig.deployment.running() as deployment:
         rig.open_answer("open", deployment.client_socket)
-        old, _ = start_replacement(deployment)
-        rig.check_refused("open")
+        old = rig.replace()
+        sock = rig.connect_to_newest()
+        rig.check_refused("open", sock)
         killed_at = time.monotonic()
         kill(old)
-        wait_until(lambda: rig.is_free("open"))
+        wait_until(lambda: rig.is_free("open", sock))
         assert time.monotonic() - killed_at >= DEADLINE_S
 
 
@@ -237,12 +253,13 @@
     rig = SharedIdsRig(tmp_path)
     with rig.deployment.running() as deployment:
         finish = rig.open_answer("open", deployment.client_socket)
-        old, _ = start_replacement(deployment)
+        old = rig.replace()
+        sock = rig.connect_to_newest()
         old.send_signal(signal.SIGSTOP)
-        rig.check_refused("open")
+        rig.check_refused("open", sock)
         old.send_signal(signal.SIGCONT)
         assert finish()
-        wait_until(lambda: rig.is_free("open"))
+        wait_until(lambda: rig.is_free("open", sock))
         kill(old)
 
 
@@ -250,11 +267,12 @@
     rig = SharedIdsRig(tmp_path)
     with rig.deployment.running() as deployment:
         rig.open_answer("open", deployment.client_socket)
-        old, _ = start_replacement(deployment)
+        old = rig.replace()
+        sock = rig.connect_to_newest()
         old.send_signal(signal.SIGTERM)
         while old.poll() is None:
-            assert rig.ask("open") == 409 or old.poll() is not None
-        wait_until(lambda: rig.is_free("open"))
+            assert not rig.is_free("open", sock)
+        wait_until(lambda: rig.is_free("open", sock))
 
 
 # What the old process told between the hand-over and the first client was read only after that client.
