Serve clients that have only ended their sending, as they still read their answer

Callers saw: a client that shut down its sending side behind its request, and read on, had its connection closed with no answer if its first hop failed or the request had waited for 5 ms.

Cause: such an end looks like a close, and was taken for one. Change: where the end has been seen and something is to be sent, the answer's first bytes are written, which are the same for every answer; a closed connection is reset by them, one that is read is not. Presence of a client is a module of its own now (client_presence.py).

--- a/pumicepath/http1/writing.py
+++ b/pumicepath/http1/writing.py
@@ -7,6 +7,7 @@
 # In place of a body's length: it ends with the connection, it is passed with the head, or it is chunked.
 UNTIL_CLOSE, COMPLETE, CHUNKED = -3, -2, -1
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+STATUS_LINE_START = b"HTTP/1.1 "  # of every response
 LAST_CHUNK = b"0\r\n\r\n"
 REASON_PHRASES = {
     200: "OK",
--- a/pumicepath/sidecar/arrival.py
+++ b/pumicepath/sidecar/arrival.py
@@ -14,7 +14,7 @@
 from . import clock
 from .transient import LACK_OF_MEMORY, retry
 
-TCP_ESTABLISHED = 1  # a TCP state (tcp_states.h)
+TCP_ESTABLISHED, TCP_CLOSE_WAIT = 1, 8  # TCP states (tcp_states.h)
 BYTES_RECEIVED = slice(128, 136)  # tcpi_bytes_received in struct tcp_info (linux/tcp.h)
 SO_TIMESTAMPNS = 35  # asm-generic/socket.h; the socket module does not define it
 LAST_DATA_RECV = slice(52, 56)  # tcpi_last_data_recv in struct tcp_info, in milliseconds
@@ -85,11 +85,21 @@
 
 
 def is_closed(sock: socket.socket) -> bool:
-    """Whether the peer has closed the connection, as far as the kernel knows."""
+    """Whether the peer has closed the connection or its sending side, as far as the kernel knows."""
+    return tcp_state(sock) != TCP_ESTABLISHED
+
+
+def is_half_closed(sock: socket.socket) -> bool:
+    """Whether the peer has ended its sending: it may have closed the connection, or may still read."""
+    return tcp_state(sock) == TCP_CLOSE_WAIT
+
+
+def tcp_state(sock: socket.socket) -> int | None:
+    """Return the connection's state, None without a connection."""
     try:
-        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
     except OSError:
-        return True
+        return None
 
 
 def shutdown(sock: socket.socket, how: int) -> bool:
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -18,11 +18,11 @@
 from ..http1.messages import MalformedMessageError, Request
 from ..http1.parsing import START, RequestParser
 from . import answers, arrival, clock
-from .body_arrival import unread_bytes
 from .bulkhead import BulkheadEntry
+from .client_presence import CHECK_AFTER_US, ClientPresence
 from .decision_log import CloseReason, Decision, RefusalReason
 from .dispatch import Dispatcher
-from .exchange import CLIENT_CHECK_AFTER_US, Exchange, UploadError
+from .exchange import Exchange, UploadError
 from .memory_account import MemoryKind, Reservation
 from .sending_rate import SendingRate
 from .socket_writer import SocketWriter
@@ -40,7 +40,6 @@
 MAX_CONSECUTIVE_ERRORS = 3  # after these the connection is closed
 MEMORY_WAIT_US = 100_000  # for memory, until a request is refused for the lack of it
 MEMORY_POLL_S = 0.01
-HIDDEN_CLOSE_BYTES = 32 * 1024  # half of the least receive window that Linux offers
 FREE_LOCAL_ANSWERS = (
     2  # or pipelined requests, in a row, before a client's next ones are done one at a time with others'
 )
@@ -95,7 +94,7 @@
         self.consecutive_errors = 0
         self.requests_served = 0
         self.chunked = self.until_close = self.was_reset = False
-        self.draining = self.close_undetectable = False
+        self.draining = False
         self.class_name = ""  # of the submission in progress, if its class is known
         self.status = 0  # of its answer
         self.head_only = False  # the request is HEAD, so the response has no body
@@ -107,6 +106,7 @@
         self.answered = threading.Event()
         self.state_lock = threading.Lock()
         self.writer = SocketWriter(sock)
+        self.presence = ClientPresence(sock)
         self.memory = Reservation(owner.dispatcher.memory, MemoryKind.REQUESTS)
         self.transfers = BulkheadEntry(owner.dispatcher.bulkheads.transfers)
         self.local_work = BulkheadEntry(owner.dispatcher.bulkheads.local_answers)
@@ -263,7 +263,7 @@
         The client may then still be sending, but a read no longer blocks until its bytes arrive; so this
         waits for POLL_INTERVAL_S and the caller reads again.
         """
-        if not self.draining or self.has_left():
+        if not self.draining or self.presence.has_ended_sending():
             return False
         time.sleep(POLL_INTERVAL_S)
         return True
@@ -353,6 +353,7 @@
         dispatcher = self.owner.dispatcher
         self.requests_served += 1
         self.local_answers += 1
+        self.presence.request_begins(received_at)
         try:
             exchange = self.start_submission(request, received_at)
         finally:
@@ -427,7 +428,7 @@
                     not dispatcher.closes_connections(),
                 )
                 return None
-        if clock.now() - received_at > CLIENT_CHECK_AFTER_US and self.has_left():
+        if self.presence.age(clock.now()) > CHECK_AFTER_US and self.has_left():
             self.class_name = ""
             self.set_state(CLOSING)  # a busy core should not work for a client that has left
             return None
@@ -441,9 +442,7 @@
         deadline_at = received_at + (deadline if self.upload is None else MAX_UPLOAD_US)
         if dispatcher.shutdown_at < deadline_at and self.upload is None:
             deadline_at = dispatcher.shutdown_at  # the process ends then
-        exchange = Exchange(
-            self, params.trace_id, request, deadline_at, dispatcher, self.upload, deadline, received_at
-        )
+        exchange = Exchange(self, params.trace_id, request, deadline_at, dispatcher, self.upload, deadline)
         self.answered.clear()
         try:
             if dispatcher.submit(exchange, class_states[params.request_class], params.key, params.retry):
@@ -482,7 +481,8 @@
         self.keep_alive = keep_alive and self.keep_alive
         self.status = answer.status
         body = answer.body
-        parts = [writing.response_head(answer.status, answer.headers, len(body), self.keep_alive)]
+        head = writing.response_head(answer.status, answer.headers, len(body), self.keep_alive)
+        parts = [head[self.presence.answer_start.take() :]]
         if not self.head_only:
             parts.append(body)
         if threading.get_ident() == self.thread_id:
@@ -499,7 +499,8 @@
         self.status = answer.status
         self.chunked = length == writing.CHUNKED
         self.until_close = length == writing.UNTIL_CLOSE
-        self.write((writing.response(*answer, self.keep_alive, length),))
+        head = writing.response(*answer, self.keep_alive, length)
+        self.write((head[self.presence.answer_start.take() :],))
 
     def write_body(self, piece: bytes, last: bool) -> bool:
         """Write a piece of a streamed body; False if the client does not receive it."""
@@ -565,16 +566,15 @@
 
     def has_left(self) -> bool:
         """Whether the client is known to have closed the connection, or failed to send its body."""
-        if self.upload is not None and self.upload.failure is not None:
-            return True
-        return not self.close_undetectable and arrival.is_closed(self.sock)
+        return self.has_failed_upload() or self.presence.has_left()
 
-    def may_hide_close(self) -> bool:
-        """Whether so much is unread behind the request that the client's close could wait behind it.
+    def is_there(self) -> bool:
+        """Whether something may be sent for the client; False also where that can't be known."""
+        return not self.has_failed_upload() and self.presence.is_there(self.upload is not None)
 
-        Once the receive buffer is full, a close stays unseen until more is read.
-        """
-        return unread_bytes(self.sock) >= HIDDEN_CLOSE_BYTES
+    def has_failed_upload(self) -> bool:
+        """Whether the body of the request will not be complete."""
+        return self.upload is not None and self.upload.failure is not None
 
     # -- closing, by other threads
 
@@ -600,7 +600,7 @@
             self.shutdown(socket.SHUT_WR)
         else:
             is_answered = state in (CLOSING, DISCARDING)
-            self.close_undetectable = arrival.shutdown(
+            self.presence.close_undetectable = arrival.shutdown(
                 self.sock, socket.SHUT_RDWR if is_answered else socket.SHUT_RD
             )
         return True
@@ -619,7 +619,7 @@
             self.evicted = True
         self.note_close(CloseReason.STALLED)
         how = socket.SHUT_RDWR if is_reading else socket.SHUT_RD
-        self.close_undetectable = arrival.shutdown(self.sock, how)
+        self.presence.close_undetectable = arrival.shutdown(self.sock, how)
         return True
 
     def stalled_for(self, now: int) -> int:
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -16,8 +16,6 @@
 from .memory_account import MemoryAccount, MemoryKind, Reservation
 
 STREAM_START_GRACE_US = 100_000  # past the deadline, for the thread of an answer that goes on to pass it on
-HIDDEN_CLOSE_AFTER_US = 80_000  # a client that closed since the request came may get one sent 0.1 s later
-CLIENT_CHECK_AFTER_US = 5_000  # before this, a client is assumed to be still there
 
 
 class ExchangeClient(Protocol):
@@ -40,8 +38,8 @@
     def has_left(self) -> bool:
         """Whether the client is known to have closed its connection."""
 
-    def may_hide_close(self) -> bool:
-        """Whether so much is unread behind the request that the client's close could wait behind it."""
+    def is_there(self) -> bool:
+        """Whether something may be sent for the client; False also where that can't be known."""
 
     def acquire_slot(self) -> None:
         """Wait for a slot of the admission gate."""
@@ -156,7 +154,6 @@
         "client_left",
         "upload",
         "deadline",
-        "received_at",
     )
 
     def __init__(
@@ -168,7 +165,6 @@
         owner: ExchangeOwner,
         upload: Upload | None = None,
         deadline: int = 0,
-        received_at: int = 0,
     ) -> None:
         self.number = 0
         self.client = client
@@ -183,7 +179,6 @@
         self.client_left = False
         self.upload = upload
         self.deadline = deadline  # a duration, counted from the last byte of an upload
-        self.received_at = received_at
 
     def is_finished(self) -> bool:
         """Whether it has its final answer and no hop in flight."""
@@ -207,12 +202,7 @@
                 other.may_have_run and now > other.sent_at + request_class.dedup_window for other in earlier
             ):
                 return False
-        age = now - self.received_at
-        if age <= CLIENT_CHECK_AFTER_US:
-            return True
-        if self.client.has_left():
-            return False
-        return self.upload is not None or age <= HIDDEN_CLOSE_AFTER_US or not self.client.may_hide_close()
+        return self.client.is_there()
 
     def end_upload(self, now: int) -> None:
         """End all hops at the deadline, before the body's last byte was sent; called with the lock held.
