Read ahead of a client, before a late attempt, until its close is found or excluded

Cause: a close comes behind everything that was written before it. While a hop connects nobody reads; behind a full receive buffer the connection looks open. For long bodies no check was made at all, as a refusal would have met clients that stay as well.

Change: before something is sent for a client that was seen last more than 80 ms ago, and behind whose request 32 KiB or more are unread, what it has written is read ahead and kept until it is wanted, up to its end; or until nothing follows; or until more has come than its send buffer can have held. Bounded by that buffer for one client and by a quarter of the memory for messages for all; past that the request is refused.

--- a/pumicepath/sidecar/arrival.py
+++ b/pumicepath/sidecar/arrival.py
@@ -41,17 +41,19 @@
     return now
 
 
-def receive(sock: socket.socket, buffer: memoryview, since: int) -> tuple[int, int]:
+def receive(sock: socket.socket, buffer: memoryview, since: int, flags: int = 0) -> tuple[int, int]:
     """Read once; returns the number of bytes and when they were received, no earlier than `since`.
 
-    Raises OSError.
+    `flags` as in recvmsg(2).  Raises OSError.
     """
     try:
-        count, control, _, _ = sock.recvmsg_into((buffer,), CONTROL_BYTES)
+        count, control, _, _ = sock.recvmsg_into((buffer,), CONTROL_BYTES, flags)
     except OSError as error:
         if error.errno not in LACK_OF_MEMORY:
             raise
-        count, control, _, _ = retry(lambda: sock.recvmsg_into((buffer,), CONTROL_BYTES), LACK_OF_MEMORY)
+        count, control, _, _ = retry(
+            lambda: sock.recvmsg_into((buffer,), CONTROL_BYTES, flags), LACK_OF_MEMORY
+        )
     now = clock.now()
     if control and len(control[0][2]) == TIMESPEC.size:
         seconds, nanoseconds = TIMESPEC.unpack(control[0][2])
--- a/pumicepath/sidecar/body_arrival.py
+++ b/pumicepath/sidecar/body_arrival.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import termios
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 
@@ -36,11 +37,12 @@
     """Bounds on the time of a body's last byte; written by the client's thread, read by the timer thread.
 
     `unfinished_at` is the latest known time at which the last byte had certainly not been written, and
-    `last_byte_at` when what was read last was written, or a lower bound.  `bytes_read` counts what was read.
+    `last_byte_at` when what was read last was written, or a lower bound.  `bytes_read` counts what was read,
+    and `count_unread` what has arrived and was not read yet.
     """
 
-    def __init__(self, sock: socket.socket, now: int) -> None:
-        self.sock = sock
+    def __init__(self, count_unread: Callable[[], int], now: int) -> None:
+        self.count_unread = count_unread
         self.unfinished_at = self.last_byte_at = now
         self.bytes_read = 0
         self.send_buffer = max_send_buffer()
@@ -62,7 +64,7 @@
     def examine_buffers(self, now: int, left: int | None) -> None:
         """Note what the buffers show; `left`: bytes of the body that have not been read, None if unknown."""
         bytes_read = self.bytes_read  # before the buffer is looked at, which the client's thread may empty
-        unread = unread_bytes(self.sock)
+        unread = self.count_unread()
         if left is not None and left - unread > self.send_buffer:
             self.note_unfinished(now)
         arrived = bytes_read + unread
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -19,6 +19,7 @@
 from ..http1.parsing import START, RequestParser
 from . import answers, arrival, clock
 from .bulkhead import BulkheadEntry
+from .client_input import ClientInput
 from .client_presence import CHECK_AFTER_US, ClientPresence
 from .decision_log import CloseReason, Decision, RefusalReason
 from .dispatch import Dispatcher
@@ -106,7 +107,8 @@
         self.answered = threading.Event()
         self.state_lock = threading.Lock()
         self.writer = SocketWriter(sock)
-        self.presence = ClientPresence(sock)
+        self.input = ClientInput(sock, owner.dispatcher.read_ahead)
+        self.presence = ClientPresence(sock, self.input)
         self.memory = Reservation(owner.dispatcher.memory, MemoryKind.REQUESTS)
         self.transfers = BulkheadEntry(owner.dispatcher.bulkheads.transfers)
         self.local_work = BulkheadEntry(owner.dispatcher.bulkheads.local_answers)
@@ -143,6 +145,7 @@
             self.leave_bulkheads()
             self.release_slot()
             self.memory.release()
+            self.input.release()
             self.owner.remove(self)
             self.sock.close()
             reason = self.close_reason or CloseReason.CLIENT_CLOSED
@@ -205,7 +208,7 @@
                     self.refuse_for_memory(parser)
                 return
             space = parser.ring.writable(wanted)
-            count, received_at = arrival.receive(self.sock, space, self.received_after)
+            count, received_at = self.input.receive(space, self.received_after)
             del space
             if not count:
                 if parser.is_idle() or not self.is_read_shutdown():
@@ -570,7 +573,7 @@
 
     def is_there(self) -> bool:
         """Whether something may be sent for the client; False also where that can't be known."""
-        return not self.has_failed_upload() and self.presence.is_there(self.upload is not None)
+        return not self.has_failed_upload() and self.presence.is_there()
 
     def has_failed_upload(self) -> bool:
         """Whether the body of the request will not be complete."""
@@ -635,6 +638,8 @@
 
     def has_unread_bytes(self) -> bool:
         """Whether bytes are waiting that the connection's thread has not read yet."""
+        if self.input.backlog:
+            return True
         try:
             return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
--- a/pumicepath/sidecar/client_presence.py
+++ b/pumicepath/sidecar/client_presence.py
@@ -15,11 +15,10 @@
 
 from ..http1.writing import STATUS_LINE_START
 from . import arrival, clock
-from .body_arrival import unread_bytes
+from .client_input import ClientInput, InputState
 
 CHECK_AFTER_US = 5_000  # before this, a client is assumed to be still there
 HIDDEN_END_AFTER_US = 80_000  # a client that closed since it was seen may get one sent 0.1 s later
-HIDDEN_END_BYTES = 32 * 1024  # half of the least receive window that Linux offers
 RESET_WAIT_MS = 10  # for the reset of a closed connection that was written to
 
 
@@ -56,8 +55,9 @@
 class ClientPresence:
     """What is known of one client's presence; used by the connection's own thread."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, client_input: ClientInput) -> None:
         self.sock = sock
+        self.input = client_input
         self.answer_start = AnswerStart(sock)
         self.seen_at = 0  # when the client was certainly there last
         self.close_undetectable = False  # our own shutdown looks like the client's close
@@ -75,21 +75,25 @@
         """Whether the client is known to have closed the connection, or its sending side."""
         return not self.close_undetectable and arrival.is_closed(self.sock)
 
-    def is_there(self, is_upload: bool) -> bool:
-        """Whether something may be sent for the client now, whose body may still be coming (`is_upload`)."""
-        age = self.age(clock.now())
+    def is_there(self) -> bool:
+        """Whether something may be sent for the client now.
+
+        False as well if that can't be known, since more is unread than may be read ahead.
+        """
+        now = clock.now()
+        age = self.age(now)
         if age <= CHECK_AFTER_US:
             return True
+        if not self.has_ended_sending():
+            if age <= HIDDEN_END_AFTER_US or not self.input.may_hide_end():
+                self.seen_at = now
+                return True
+            if self.input.look_for_end() == InputState.UNKNOWN:
+                return False
         if self.has_left():
             return False
-        return is_upload or age <= HIDDEN_END_AFTER_US or not self.may_hide_end()
-
-    def may_hide_end(self) -> bool:
-        """Whether so much is unread behind the request that the client's end could wait behind it.
-
-        Once the receive buffer is full, the end stays unseen until more is read.
-        """
-        return unread_bytes(self.sock) >= HIDDEN_END_BYTES
+        self.seen_at = now
+        return True
 
     def has_left(self) -> bool:
         """Whether the client has closed the connection, as far as the kernel knows; while it is answered."""
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -20,13 +20,14 @@
 from . import answers, clock
 from .admission_gate import AdmissionGate
 from .bulkhead import Bulkheads
+from .client_input import READ_AHEAD_PARTS
 from .combining_lock import CombiningLock
 from .config import ACCEPT_HEADROOM, BASE_MEMORY_BYTES, Config
 from .decision_log import Decision, DecisionLog, RefusalReason
 from .delay_monitor import DelayMonitor
 from .exchange import Exchange, Hop, UploadDeadline
 from .log import Log
-from .memory_account import MemoryAccount, MemoryBudget, resident_bytes
+from .memory_account import MemoryAccount, MemoryBudget, MemoryShare, resident_bytes
 from .servers import Pool, ServerConnection
 from .timers import PostponedTimer, TimerQueue
 from .trace_ids import IdInUse, RemoteProcess, TraceIds
@@ -77,6 +78,7 @@
         )
         self.bulkheads = Bulkheads()
         self.memory = MemoryAccount(self.memory_budget.for_messages(1))
+        self.read_ahead = MemoryShare(self.memory, READ_AHEAD_PARTS)
         self.pool = Pool(self, config, log)
         self.streaming: set[int] = set()  # exchanges whose answer is being streamed, by number
         self.trace_ids = TraceIds(self.is_open)
