Count a request's age from when its client was seen, if it was written behind another

Callers saw: of several requests on one connection, the first with a long body, later ones were sent to a server after the client had closed, 0.1 s later and more.

Cause: a client is looked for once its request is 5 ms old, counted from when the kernel received its last bytes. What had waited in the client's buffer was received only when the sidecar read on, and looked new. Change: if bytes were unread when the request before ended, the age counts from when the client was seen last.

--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -186,6 +186,7 @@
                     self.sock.sendall(writing.CONTINUE)
                 self.serve(request, received_at)
                 self.local_work.leave()
+                self.presence.request_ended(not parser.is_idle())
                 self.pipelined = 0 if parser.is_idle() else self.pipelined + 1
                 if self.upload is not None:
                     self.finish_upload(self.upload)
--- a/pumicepath/sidecar/client_presence.py
+++ b/pumicepath/sidecar/client_presence.py
@@ -60,12 +60,22 @@
         self.input = client_input
         self.answer_start = AnswerStart(sock)
         self.seen_at = 0  # when the client was certainly there last
+        self.had_unread_bytes = False  # behind the request before, so that it wrote the next one at some time
         self.close_undetectable = False  # our own shutdown looks like the client's close
 
     def request_begins(self, received_at: int) -> None:
-        """Note that a request begins, the last bytes of which were received at that time."""
+        """Note that a request begins, the last bytes of which were received at that time.
+
+        What was unread when the answer before it ended may have been written long before, by a client that
+        has closed since, even if the kernel could receive it only now.
+        """
         self.answer_start.reset()
-        self.seen_at = received_at
+        if not self.had_unread_bytes:
+            self.seen_at = received_at
+
+    def request_ended(self, more_has_come: bool) -> None:
+        """Note that a request has ended, and whether the next one had begun to come by then."""
+        self.had_unread_bytes = more_has_come or self.input.unread_bytes() > 0
 
     def age(self, now: int) -> int:
         """How long ago the client was certainly there."""
--- a/tests/test_hidden_close.py
+++ b/tests/test_hidden_close.py
@@ -14,7 +14,7 @@
 from pumicepath.http1 import writing
 from pumicepath.http1.parsing import RequestParser, ResponseParser
 from pumicepath.lab.loopback.scripted import http_response, read_message
-from pumicepath.sidecar import client_presence
+from pumicepath.sidecar import client_presence, clock
 from pumicepath.sidecar.body_arrival import max_send_buffer
 from pumicepath.sidecar.client_input import ClientInput, InputState
 from pumicepath.sidecar.memory_account import MemoryAccount, MemoryShare
@@ -207,6 +207,34 @@
     assert rig.dispatcher.read_ahead.held == rig.dispatcher.memory.total == 0
 
 
+# What a client had written behind a request could be received only after that, and looked as if it was new.
+@pytest.mark.parametrize("stays", [True, False])
+@pytest.mark.parametrize("length", [0, 50_000, LONG_BYTES])
+def test_a_request_written_behind_a_long_one_is_not_sent_once_its_client_has_closed(
+    length: int, stays: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("pumicepath.lab.loopback.scripted.RequestParser", lambda: RequestParser(1 << 20))
+    rig = Rig(tmp_path)
+    client_sock, client = rig.connect()
+    start_thread(client.run)
+    client_sock.sendall(request_with_body("first", LONG_BYTES))
+    wait_until(lambda: rig.deployment.transcript)
+    client_sock.sendall(request_with_body("second", length) + request_with_body("third", LONG_BYTES))
+    if not stays:
+        client_sock.close()
+    left_at = clock.now()
+    wait_until(lambda: clock.now() - left_at > 100_000)
+    for _ in range(3):
+        rig.deployment.script.put(http_response(200, "served"))
+    if stays:
+        parser = ResponseParser()
+        responses = [read_message(client_sock, parser) for _ in range(3)]
+        assert [response.status for response in responses] == [200, 200, 200]
+        client_sock.close()
+    wait_until(lambda: client not in rig.clients.open and not rig.dispatcher.exchanges)
+    assert len(rig.deployment.transcript) == (3 if stays else 1)
+
+
 def look_for_end(sock: socket.socket, limit: int = MAX_TEST_BODY) -> tuple[InputState, ClientInput]:
     client_input = ClientInput(sock, MemoryShare(MemoryAccount(limit), 1))
     return client_input.look_for_end(), client_input
