Tell the list to the other process of a hot restart when it changes

Callers saw: while a process is replaced and discovery answers the old one only, the new one went on sending to a server that the old one had been told drains.

Cause: the list was handed over once, and each process was told by itself from then on; but what one has been told binds both. Change: a list that differs is told to the others, whole, in a thread of its own; they take it over if it is from the same host and newer. Lists from relays are not told on (versions by region): open.

--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -134,6 +134,19 @@
                 (region, seq) for region, seq in kept.items() if type(seq) is int
             )
 
+    def adopt(self, known: Any) -> ServerListUpdate | None:
+        """Take over the list of another process of this sidecar, at the same host, if it is newer.
+
+        Returns None if it is not, or if relays are followed, whose versions are by region.  Raises BadList.
+        """
+        if self.region_versions is not None or not isinstance(known, dict) or "regions" in known:
+            return None
+        if int(known.get("seq", -1)) <= self.version:
+            return None
+        update = self.server_list.apply(known)
+        self.version = update.version
+        return update
+
     def reset_connection(self) -> None:
         """Start on a new connection; partial input of the old one is discarded."""
         self.parser = ResponseParser(MAX_LIST_BYTES)
--- a/pumicepath/sidecar/hot_restart.py
+++ b/pumicepath/sidecar/hot_restart.py
@@ -160,14 +160,20 @@
         known_list: Callable[[], Any],
         listen: Address,
         process: str = "",
+        adopt_list: Callable[[str, Any], None] = lambda host, known: None,
+        list_host: Callable[[], str] = str,
     ) -> None:
         self.dispatcher = dispatcher
         self.clients = clients
         self.known_list = known_list
+        self.adopt_list = adopt_list
+        self.list_host = list_host  # where the list comes from
         self.listen = list(listen)
         self.process = process or create_process_name()
         self.links: dict[Channel, ProcessLink] = {}
         self.id_sharing = IdSharing(dispatcher, self.process, lambda: bool(self.links), self.broadcast)
+        self.list_changed = threading.Event()
+        self.shares_list = False
         self.superseded = False  # whether a new process accepts clients in this one's place
         self.has_taken_over = threading.Event()
 
@@ -175,7 +181,7 @@
         """Apply what the old process has handed over, and whatever it tells from now on."""
         link = ProcessLink(handover.channel, RemoteProcess(handover.process) if handover.process else None)
         self.links[handover.channel] = link
-        self.id_sharing.start()
+        self.start_sharing()
         for update in handover.ids_in_use:
             self.apply_ids(link, update)
         start_thread(lambda: self.serve_channel(link, False))
@@ -279,6 +285,9 @@
         if "ids" in message:
             self.apply_ids(link, decode_update(message))
             self.broadcast(message, link.channel)
+        if "known" in message:
+            self.adopt_list(str(message["host"]), message["known"])
+            self.broadcast(message, link.channel)
         if "number" in message:
             number = message.pop("number")
             self.apply(message)
@@ -312,7 +321,7 @@
         with channel.write_lock:
             # Changes from now on are sent after the answer, and may also be contained in it.
             self.links[channel] = link
-            self.id_sharing.start()
+            self.start_sharing()
             out_of_service, back_in_service = dispatcher.operator_state()
             answer = {
                 **encode_in_use(dispatcher.ids_in_use(), self.process),
@@ -342,6 +351,23 @@
         if owner is not None and update.ended:
             self.dispatcher.end_ids(owner, update.ended)
 
+    def start_sharing(self) -> None:
+        """Tell the other processes of ids and lists from now on, if that was not started before."""
+        self.id_sharing.start()
+        if not self.shares_list:
+            self.shares_list = True
+            start_thread(self.share_list)
+
+    def share_list(self) -> None:
+        """Tell the other processes of each list that differs; the body of a thread.
+
+        What one process has been told of a server that drains binds all of them.
+        """
+        while True:
+            self.list_changed.wait()
+            self.list_changed.clear()
+            self.broadcast({"host": self.list_host(), "known": self.known_list()})
+
     def broadcast(self, message: dict[str, Any], source: Channel | None = None) -> None:
         """Send a message to all connected processes but its source."""
         for channel in list(self.links):
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -94,7 +94,10 @@
         raise ConfigError(f"cannot listen on {format_address(config.listen)}: {error.strerror}") from error
     # With the actual port, which the file may leave to the kernel (port 0): a new process may know only this.
     serving = config.listen._replace(port=clients.listener.getsockname()[1])
-    hot_restart = HotRestart(dispatcher, clients, watch.export_state, serving, process_name)
+    hot_restart = HotRestart(
+        dispatcher, clients, watch.export_state, serving, process_name, watcher.adopt, lambda: watch.host
+    )
+    watcher.on_list_changed = hot_restart.list_changed.set
     peers = create_peers(config, log, handover is not None)
     try:
         admin_server = (
--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -4,9 +4,10 @@
 
 import socket
 import threading
+from collections.abc import Callable
 from contextlib import suppress
 from time import monotonic, sleep
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ..discovery.server_list import EMPTY_UPDATE, Address, BadList
 from ..discovery.watch import Overtaxed, Watch
@@ -56,6 +57,9 @@
         self.connecting = False
         self.call_requested = threading.Event()
         self.lock = threading.Lock()
+        # Held while the list is changed: by the thread, or as another process of this sidecar tells.
+        self.list_lock = threading.Lock()
+        self.on_list_changed: Callable[[], None] = lambda: None  # called without locks
         self.moved_at = 0.0
         self.moved = False
         self.dispatcher: Dispatcher
@@ -111,6 +115,19 @@
             except Exception as error:  # the sidecar goes on with the list it has, and calls again
                 self.handle_failure(error)
 
+    def adopt(self, host: str, known: Any) -> None:
+        """Take over the list that another process of this sidecar has from the same host, if it is newer.
+
+        What one of them has been told binds all, whether or not the others can reach that host.
+        """
+        with self.list_lock:
+            if host != self.watch.host:
+                return
+            with suppress(BadList):
+                update = self.watch.adopt(known)
+                if update is not None:
+                    self.dispatcher.update_servers(ListKind.FULL, update)
+
     def handle_failure(self, error: Exception) -> None:
         """Call again: at once, after `RETRY_INTERVAL_S`, or when the balancer requests it."""
         self.close()
@@ -153,9 +170,14 @@
         while True:
             self.call_started_at = monotonic()
             response = self.call(self.sock if self.sock is not None else self.connect())
-            update = self.watch.handle_response(response)
-            if first or update.whole or update.entries:
-                self.dispatcher.update_servers(ListKind.FULL if update.whole else ListKind.CHANGES, update)
+            with self.list_lock:
+                update = self.watch.handle_response(response)
+                if first or update.whole or update.entries:
+                    self.dispatcher.update_servers(
+                        ListKind.FULL if update.whole else ListKind.CHANGES, update
+                    )
+            if update.entries:
+                self.on_list_changed()
             first = False
             self.first_call_done.set()
             relay_watch = self.relay_watch
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -1,5 +1,6 @@
 """Hot restart on loopback: under load, with changes by operators, and with processes that fail."""
 
+import json
 import os
 import queue
 import signal
@@ -173,6 +174,66 @@
             process.wait()
 
 
+class SelectiveDiscovery(ScriptedServer):
+    """Answers the first process that calls, and any other one with 503."""
+
+    def __init__(self) -> None:
+        self.changed = threading.Condition()
+        self.documents: list[dict] = []
+        self.callers = 0
+        super().__init__("discovery", queue.SimpleQueue(), [])
+
+    def serve(self, sock: socket.socket) -> None:
+        parser = RequestParser()
+        sock.settimeout(None)
+        self.callers += 1
+        is_first = self.callers == 1
+        with sock:
+            while read_message(sock, parser) is not None:
+                with self.changed:
+                    self.changed.wait_for(lambda: self.documents or not is_first)
+                    document = self.documents.pop(0) if is_first else {}
+                sock.sendall(http_response(200 if is_first else 503, json.dumps(document)))
+
+    def publish(self, document: dict) -> None:
+        with self.changed:
+            self.documents.append(document)
+            self.changed.notify_all()
+
+
+# What one process had been told of a server that drains bound only that one: the other went on sending there.
+def test_a_drain_that_only_the_old_process_is_told_of_binds_the_new_one(tmp_path: Path) -> None:
+    deployment = restartable_deployment(tmp_path, 0)
+    hops: dict[str, list[str]] = {"s-0": [], "s-1": []}
+    deployment.servers = [EchoServer(name, queue.SimpleQueue(), runs) for name, runs in hops.items()]
+    discovery = SelectiveDiscovery()
+    discovery.publish(deployment.list_document(1, False, "active"))
+    deployment.configuration.update(
+        discovery=discovery.address, known=deployment.list_document(1, True, "active")
+    )
+    deployment.write_configuration()
+
+    def count_hops_to_the_first() -> int:
+        before, served = len(hops["s-0"]), deployment.metrics()["edge_gw.answered.read"]
+        with socket.create_connection(deployment.address) as sock:
+            for number in range(30):
+                headers = [("Host", "a"), ("X-Trace-Id", f"{number}-{len(hops['s-1'])}"), ("X-Qos", "read")]
+                sock.sendall(writing.request("GET", "/", [*headers, ("X-Object", f"lot {number}")]))
+                assert read_status(sock) == 200
+        if deployment.metrics()["edge_gw.answered.read"] == served:
+            return count_hops_to_the_first()  # the old process has accepted this connection
+        return len(hops["s-0"]) - before
+
+    with deployment.running():
+        wait_until(lambda: discovery.callers)
+        start_replacement(deployment)
+        assert count_hops_to_the_first()
+        drain = deployment.list_document(2, False, "leaving")
+        discovery.publish({**drain, "hosts": drain["hosts"][:1]})
+        wait_until(lambda: not count_hops_to_the_first())
+        assert discovery.callers > 1 and len(hops["s-1"])
+
+
 def test_the_old_process_serves_again_when_the_new_one_ends(tmp_path: Path) -> None:
     deployment = restartable_deployment(tmp_path, 1)
     with deployment.running():
