--- a/pumicepath/sidecar/hot_restart.py
+++ b/pumicepath/sidecar/hot_restart.py
@@ -243,7 +243,9 @@
             link = self.hand_over(channel)
         except (OSError, ChannelError, ValueError, TypeError, KeyError) as error:
             self.log_fault(error)
-            self.links.pop(channel, None)
+            failed = self.links.pop(channel, None)
+            if failed is not None and failed.process_descriptor is not None:
+                os.close(failed.process_descriptor)
             channel.close()
         else:
             self.serve_channel(link, True)
