Tests: let a refused discovery listen only after the request that must come before it

Cause: the test's own order. The discovery began to listen as soon as the sidecar had started, beside that request; a call of the sidecar between the two was told of the drain, and the only server drains. Change: it listens after the answer to that request. The checks and their bounds are as they were. A writer thread of another test ends quietly when its connection is reset.

--- a/tests/test_hidden_close.py
+++ b/tests/test_hidden_close.py
@@ -260,8 +260,12 @@
     near, far = connected_sockets()
     far.settimeout(20)
     data = bytes(3 * max_send_buffer())
-    writer = threading.Thread(target=lambda: far.sendall(data), daemon=True)
-    writer.start()
+
+    def write_until_reset() -> None:
+        with suppress(OSError):
+            far.sendall(data)
+
+    threading.Thread(target=write_until_reset, daemon=True).start()
     wait_until(lambda: ClientInput(near, MemoryShare(MemoryAccount(1), 1)).may_hide_end())
     state, client_input = look_for_end(near, 64 << 20)
     assert state == InputState.OPEN
--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -117,10 +117,11 @@
         fault_thread = threading.Thread(target=self.play_fault)
         fault_thread.start()
         with self.deployment.running():
-            self.started.set()
             if self.deployment.configuration["settings"]["membershipMode"] == "on_request":
                 response = self.deployment.submit("read")
                 self.status_before = response.status if response else 0
+            # Not before: a discovery that listens by then would tell of the drain before that request.
+            self.started.set()
             fault_thread.join()
             stalled = stalls.total_s
             while time.monotonic() < self.changed_at + NOTIFY_LIMIT_S + 1.5:
