Tests: take the test's own connection among those that are accepted

Cause: the test took whatever connection was accepted first for its own. Change: the test looks for the connection by its address, and makes such a stray connection itself. What it asks is as it was.

--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -6,6 +6,7 @@
 import os
 import socket
 import threading
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -125,15 +126,22 @@
     resting_sock, resting = rig.connect()
     start_thread(resting.run)
     assert exchange(rig, resting_sock, "before") == 200
-    accepted: list[Client] = []
+    accepted: dict[Any, Client] = {}  # by the client's address
     original = Clients.add_client
-    monkeypatch.setattr(
-        Clients, "add_client", lambda self, sock: accepted.append(original(self, sock)) or accepted[-1]
-    )
+
+    def add_client(self: Clients, sock: socket.socket) -> Client:
+        client = original(self, sock)
+        with suppress(OSError):  # it has been reset
+            accepted[sock.getpeername()] = client
+        return client
+
+    monkeypatch.setattr(Clients, "add_client", add_client)
     failing = FailingCalls(monkeypatch, socket.socket, "accept", code, FAILURES_IN_A_ROW)
     start_thread(rig.clients.run)
+    # Others may connect as well: the port may have been that of another test's server before.
+    socket.create_connection(rig.clients.listener.getsockname()).close()
     with socket.create_connection(rig.clients.listener.getsockname()) as client_sock:
-        wait_until(lambda: accepted)
-        accepted[0].sock.settimeout(None)
+        wait_until(lambda: client_sock.getsockname() in accepted)
+        accepted[client_sock.getsockname()].sock.settimeout(None)
         assert exchange(rig, client_sock, "after") == 200 and not failing.left
     assert exchange(rig, resting_sock, "again") == 200
