Tests: make accepted sockets block before their threads read

Cause: tests set a default time-out, which accepted sockets inherit, and the test called settimeout(None) on one whose thread had begun to read. CPython stores the new time-out first and then releases the interpreter lock to change the descriptor's flag; a read that starts in between is made without waiting on a descriptor that does not block, and fails with EAGAIN. The client's thread takes that for a broken connection and closes it, and settimeout fails with EBADF. In production no default time-out is set, and sockets block from the start.

Change: the rig makes a socket block when it is accepted, before any thread reads from it. The same race stood in test_overflow (a place that becomes free) and, for two threads that share a socket, in the proxy of test_relayed_sidecars. The test asks what it asked before; it needs the accepted connection no more.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -38,6 +38,17 @@
     def event(self, event: str, **figures: object) -> None: ...
 
 
+class BlockingClients(Clients):
+    """Client connections whose sockets block, as in production, although tests set a default time-out.
+
+    They are made so before their threads read: `settimeout` beside a read has the read fail with EAGAIN.
+    """
+
+    def add_client(self, sock: socket.socket) -> Client:
+        sock.settimeout(None)
+        return super().add_client(sock)
+
+
 class Rig:
     """The sidecar's parts in this process, so that a test can run code between any two of their steps."""
 
@@ -48,7 +59,7 @@
             configuration["settings"][key] = value
         self.config = config.decode_config(configuration)
         self.dispatcher = Dispatcher(self.config, NullLog(), lambda: None)  # type: ignore[arg-type]
-        self.clients = Clients(self.dispatcher)
+        self.clients = BlockingClients(self.dispatcher)
         self.clients.listener.settimeout(20)
         update = ServerList(["a"], lambda born: 0).apply(self.deployment.list_document(1, True, "active"))
         self.dispatcher.update_servers(ListKind.FULL, update)
@@ -59,7 +70,6 @@
         client_socket = socket.create_connection(self.clients.listener.getsockname())
         client = self.clients.accept()
         assert client is not None
-        client.sock.settimeout(None)  # blocking, as in production; tests set a default time-out
         return client_socket, client
 
     def request(self, name: str, request_class: str = "once", expires: int = 5000) -> bytes:
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -6,7 +6,6 @@
 import os
 import socket
 import threading
-from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -14,11 +13,9 @@
 
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import http_response, read_message
-from pumicepath.sidecar.client import Client
-from pumicepath.sidecar.clients import Clients
 from pumicepath.sidecar.servers import start_thread
 
-from .rig import Rig, wait_until
+from .rig import Rig
 
 FAILURES_IN_A_ROW = 5
 SERVED = b"served"
@@ -126,22 +123,10 @@
     resting_sock, resting = rig.connect()
     start_thread(resting.run)
     assert exchange(rig, resting_sock, "before") == 200
-    accepted: dict[Any, Client] = {}  # by the client's address
-    original = Clients.add_client
-
-    def add_client(self: Clients, sock: socket.socket) -> Client:
-        client = original(self, sock)
-        with suppress(OSError):  # it has been reset
-            accepted[sock.getpeername()] = client
-        return client
-
-    monkeypatch.setattr(Clients, "add_client", add_client)
     failing = FailingCalls(monkeypatch, socket.socket, "accept", code, FAILURES_IN_A_ROW)
     start_thread(rig.clients.run)
     # Others may connect as well: the port may have been that of another test's server before.
     socket.create_connection(rig.clients.listener.getsockname()).close()
     with socket.create_connection(rig.clients.listener.getsockname()) as client_sock:
-        wait_until(lambda: client_sock.getsockname() in accepted)
-        accepted[client_sock.getsockname()].sock.settimeout(None)
         assert exchange(rig, client_sock, "after") == 200 and not failing.left
     assert exchange(rig, resting_sock, "again") == 200
--- a/tests/test_overflow.py
+++ b/tests/test_overflow.py
@@ -61,8 +61,6 @@
     rig.deployment.script.put(http_response(200, "served"))
     with socket.create_connection(rig.clients.listener.getsockname()) as client_sock:
         wait_until(lambda: len(rig.clients.open) == 2)
-        for client in list(rig.clients.open):
-            client.sock.settimeout(None)
         client_sock.sendall(rig.request("next"))
         response = read_message(client_sock, ResponseParser())
     assert response is not None and response.status == 200
--- a/tests/test_relayed_sidecars.py
+++ b/tests/test_relayed_sidecars.py
@@ -79,11 +79,12 @@
             except OSError:  # the origin refuses connections
                 near.close()
                 continue
+            for sock in (near, far):
+                sock.settimeout(None)  # before both threads use it
             for one, other, back in ((near, far, False), (far, near, True)):
                 threading.Thread(target=self.forward, args=(one, other, back), daemon=True).start()
 
     def forward(self, one: socket.socket, other: socket.socket, back: bool) -> None:
-        one.settimeout(None)
         with suppress(OSError):
             while data := one.recv(65536):
                 if not (back and self.drops_answers):
