Tests: give an exchange that is only inspected more than a millisecond of time

Seen: IndexError at exchange.hops[0] in test_nothing_is_written_after_the_deadline_or_the_final_answer, once in three runs beside other tests.

Cause: the exchange's deadline was 1 ms ahead. Where submitting it took longer it was answered at once and had no hop. Change: the deadline is 20 s ahead; what is asked at the deadline, and a microsecond before it, is as it was.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -201,12 +201,13 @@
     rig = Rig(tmp_path)
     client_socket, client = rig.connect()
     now = clock.now()
+    deadline_at = now + 20_000_000
     request = Request(method="GET", target="/")
     client.presence.request_begins(now)
-    exchange = Exchange(client, "t", request, now + 1000, rig.dispatcher)
+    exchange = Exchange(client, "t", request, deadline_at, rig.dispatcher)
     rig.dispatcher.submit(exchange, rig.dispatcher.active_config[1][1], 0, False)
     hop = exchange.hops[0]
-    assert exchange.may_write(now + 999, hop) and not exchange.may_write(now + 1000, hop)
+    assert exchange.may_write(deadline_at - 1, hop) and not exchange.may_write(deadline_at, hop)
     hop.ended = True
     assert not exchange.may_write(now, hop)
     hop.ended, exchange.answered = False, True
