Ask the newest process of a hot restart before an id is used for what must not run twice

What callers saw: a request that must not run twice, sent to the old and the new process at the same moment, was served by both.

Cause: each process told its claim and sent the request without an answer, so nobody decided between two claims that cross. A process that is stopped and goes on is the same case: its clients' threads and the reader of what it was told start together.

Change: the newest process that serves decides. Older ones ask it (`id_grants.py`) and send nothing until it grants the id; processes between pass questions and answers on. Requests that may run twice ask for nothing. A new process accepts clients once the old one has confirmed the take-over, after telling all that it claimed without asking; this takes the place of `catch_up`. Without an answer until the deadline the request is refused (503, `id_unanswered`).

Why it works: what the newest has claimed it refuses, what it has granted it refuses to its own clients, and an older process sends nothing on its own word. No wait decides anything.

Tests changed: the message of the take-over is compared with its number, as it is confirmed now; the test of what was told before the first client calls `take_over`, which waits in place of `catch_up`.

--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -24,6 +24,7 @@
 from .decision_log import CloseReason, Decision, RefusalReason
 from .dispatch import Dispatcher
 from .exchange import Exchange, UploadError
+from .id_grants import Grant
 from .memory_account import MemoryKind, Reservation
 from .sending_rate import SendingRate
 from .socket_writer import SocketWriter
@@ -339,7 +340,7 @@
         self.local_work.leave()
 
     def before_blocking(self) -> None:
-        """Give up what others wait for, as a write is about to wait for the client."""
+        """Give up what others wait for, as this thread is about to wait for the client or another process."""
         self.leave_bulkheads()
         self.release_slot()
 
@@ -449,12 +450,20 @@
         exchange = Exchange(self, params.trace_id, request, deadline_at, dispatcher, self.upload, deadline)
         self.answered.clear()
         try:
-            if dispatcher.submit(exchange, class_states[params.request_class], params.key, params.retry):
-                self.consecutive_errors = 0
-                return exchange
+            grant = dispatcher.submit(exchange, class_states[params.request_class], params.key, params.retry)
         except Exception:
             dispatcher.abort_exchange(exchange)
             raise
+        if grant == Grant.GRANTED:
+            self.consecutive_errors = 0
+            return exchange
+        if grant == Grant.UNANSWERED:
+            dispatcher.decisions.note(Decision.REFUSED, RefusalReason.ID_UNANSWERED, params.trace_id)
+            self.answer(
+                answers.rejected(dispatcher.balancer.fixed_retry_after(class_states[params.request_class])),
+                not dispatcher.closes_connections(),
+            )
+            return None
         self.send_error(MalformedMessageError(409, "id of a request that is open, or was just now"), True)
         return None
 
--- a/pumicepath/sidecar/decision_log.py
+++ b/pumicepath/sidecar/decision_log.py
@@ -52,6 +52,7 @@
     ADMISSION = "admission"  # it could not have been answered in time
     NO_ROOM = "no_room"  # more connections than the limits allow
     MEMORY = "memory"
+    ID_UNANSWERED = "id_unanswered"  # another process of a hot restart did not tell whether its id is in use
     NO_SERVER = "no_server"  # none may be used now, or load is shed
 
 
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -15,7 +15,7 @@
 from ..http1 import writing
 from ..http1.messages import Response
 from ..http1.parsing import ResponseParser
-from ..interface import ListKind, Outcome, PeerTrials, TimerHandler
+from ..interface import Effect, ListKind, Outcome, PeerTrials, TimerHandler
 from ..invariants import check_invariant
 from . import answers, clock
 from .admission_gate import AdmissionGate
@@ -26,6 +26,7 @@
 from .decision_log import Decision, DecisionLog, RefusalReason
 from .delay_monitor import DelayMonitor
 from .exchange import Exchange, Hop, UploadDeadline
+from .id_grants import Grant, IdAnswer, IdGrants, IdQuestion
 from .log import Log
 from .memory_account import MemoryAccount, MemoryBudget, MemoryShare, resident_bytes
 from .servers import Pool, ServerConnection
@@ -47,6 +48,11 @@
     """Tell nobody that the exchange of an id has ended: there is no other process."""
 
 
+def must_ask(class_state: ClassState) -> bool:
+    """Whether a request of this class must not run in two processes."""
+    return class_state.request_class.effect != Effect.IDEMPOTENT
+
+
 class Dispatcher:
     """Owns the balancer, the open exchanges and the timers, and is the balancer's host.
 
@@ -62,6 +68,8 @@
         # Both are called with the lock held, and must not block.
         self.on_id_claimed: Callable[[str, int], None] = ignore_id
         self.on_id_ended: Callable[[str], None] = ignore_end
+        # Asked before ids are used for what must not run twice; None: this process decides alone.
+        self.id_grants: IdGrants | None = None
         self.admitted = 0
         self.draining = False  # since SIGTERM
         self.shutdown_at = NO_DEADLINE_US  # when all admitted requests must be answered, set on SIGTERM
@@ -147,18 +155,67 @@
         self.admission_gate.apply_config(config)
         self.run_locked(call)
 
-    def submit(self, exchange: Exchange, class_state: ClassState, key: int, retry: bool) -> bool:
-        """Submit an exchange to the balancer; False if its trace id is in use.
+    def submit(self, exchange: Exchange, class_state: ClassState, key: int, retry: bool) -> Grant:
+        """Submit an exchange to the balancer, unless its trace id may not be used; returns whether it may.
 
         A trace id stays in use until the submission's deadline, even when it has been answered, and for as
         long as its body or answer is being streamed.
         """
+        while True:
+            asked = self.id_grants if must_ask(class_state) else None
+            if asked is not None:
+                grant = self.ask_for_id(exchange, asked)
+                if grant != Grant.GRANTED:
+                    return grant
+            grant = self.submit_granted(exchange, class_state, key, retry, asked)
+            if grant != Grant.UNASKED:
+                return grant
+
+    def ask_for_id(self, exchange: Exchange, id_grants: IdGrants) -> Grant:
+        """Ask another process for the use of an exchange's id; the client's thread waits for the answer.
+
+        Meanwhile the id is refused to older processes.
+        """
+        until = self.id_held_until(clock.now(), exchange)
+        if not self.reserve_own_id(exchange.trace_id, until):
+            return Grant.IN_USE
+        exchange.client.before_blocking()
+        try:
+            return id_grants.ask(exchange.trace_id, until)
+        finally:
+            exchange.client.acquire_slot()
+
+    def reserve_own_id(self, trace_id: str, until: int) -> bool:
+        """Hold an id for requests of this process; False if it is in use."""
+        is_reserved = False
 
         def call(now: int) -> None:
-            until = min(exchange.deadline_at, now + self.max_deadline)
+            nonlocal is_reserved
+            is_reserved = self.trace_ids.reserve(now, trace_id, until, self.max_deadline, self.trace_ids.own)
+
+        self.run_locked(call)
+        return is_reserved
+
+    def id_held_until(self, now: int, exchange: Exchange) -> int:
+        """Return until when the id of an exchange that begins now is held at least."""
+        return min(exchange.deadline_at, now + self.max_deadline)
+
+    def submit_granted(
+        self, exchange: Exchange, class_state: ClassState, key: int, retry: bool, asked: IdGrants | None
+    ) -> Grant:
+        """Submit an exchange after `asked` has granted its id, unless that is in use in this process."""
+        grant = Grant.IN_USE
+
+        def call(now: int) -> None:
+            nonlocal grant
+            if self.id_grants not in (None, asked) and must_ask(class_state):
+                grant = Grant.UNASKED
+                return
+            until = self.id_held_until(now, exchange)
             number = self.admitted + 1
             if not self.trace_ids.claim(now, exchange.trace_id, number, until, self.max_deadline):
                 return
+            grant = Grant.GRANTED
             self.on_id_claimed(exchange.trace_id, until)
             self.admitted = number
             exchange.number = self.admitted
@@ -179,7 +236,7 @@
             self.remove_if_finished(exchange)
 
         self.run_locked(call)
-        return exchange.number > 0
+        return grant
 
     def run_hops(self, exchange: Exchange) -> None:
         """Run the exchange's hops one after the other until no further one is pending.
@@ -402,6 +459,38 @@
 
         self.run_locked(call)
 
+    def set_id_grants(self, id_grants: IdGrants | None) -> None:
+        """Ask a newer process for ids from now on, or none."""
+
+        def call(now: int) -> None:
+            self.id_grants = id_grants
+
+        self.run_locked(call)
+
+    def reserve_ids(
+        self, owner: RemoteProcess, questions: list[IdQuestion], pass_on: Callable[[IdQuestion], None]
+    ) -> IdAnswer:
+        """Hold ids for another process that asks for them; returns the answers that are known here.
+
+        What is not refused is passed on to newer processes, of which one that serves answers.  `pass_on` must
+        not block.
+        """
+
+        def call(now: int) -> None:
+            for question in questions:
+                if not self.trace_ids.reserve(
+                    now, question.trace_id, question.until, self.max_deadline, owner
+                ):
+                    answer.refused.append(question.number)
+                    continue
+                pass_on(question)
+                if self.id_grants is None:
+                    answer.granted.append(question.number)
+
+        answer = IdAnswer(owner.name, [], [])
+        self.run_locked(call)
+        return answer
+
     def end_ids(self, owner: RemoteProcess, ended: list[str]) -> None:
         """Note that these exchanges of another process have ended."""
         self.run_locked(lambda now: owner.open_ids.difference_update(ended))
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -41,6 +41,9 @@
     def is_there(self) -> bool:
         """Whether something may be sent for the client; False also where that can't be known."""
 
+    def before_blocking(self) -> None:
+        """Give up what others wait for, as the thread is about to wait."""
+
     def acquire_slot(self) -> None:
         """Wait for a slot of the admission gate."""
 
--- a/pumicepath/sidecar/hot_restart.py
+++ b/pumicepath/sidecar/hot_restart.py
@@ -19,7 +19,8 @@
 from . import clock
 from .clients import Clients
 from .dispatch import Dispatcher
-from .handover_channel import Channel, ChannelError, open_peer_process, wait_for_end
+from .handover_channel import CONFIRM_TIMEOUT_S, Channel, ChannelError, open_peer_process, wait_for_end
+from .id_grants import IdAnswer, IdGrants, IdQuestion, decode_answer, decode_questions, encode_answer
 from .id_sharing import IdSharing, IdUpdate, decode_in_use, decode_update, encode_in_use
 from .servers import start_thread
 from .trace_ids import RemoteProcess
@@ -134,12 +135,16 @@
     """The channel to another process, and whose ids are known through it.
 
     `peer` is the process at its other end, None for an older release; `others` are processes from which that
-    one passes on what it is told.  Each end knows the other's `process_descriptor` from the start.
+    one passes on what it is told.  Each end knows the other's `process_descriptor` from the start.  With
+    `to_newer` the peer is to replace this process; `id_grants` is set once it serves, as it decides from then
+    on which ids may be used.
     """
 
-    def __init__(self, channel: Channel, peer: RemoteProcess | None) -> None:
+    def __init__(self, channel: Channel, peer: RemoteProcess | None, to_newer: bool) -> None:
         self.channel = channel
         self.peer = peer
+        self.to_newer = to_newer
+        self.id_grants: IdGrants | None = None
         self.others: dict[str, RemoteProcess] = {}
         self.process_descriptor = open_peer_process(channel.sock)
 
@@ -171,7 +176,9 @@
         self.listen = list(listen)
         self.process = process or create_process_name()
         self.links: dict[Channel, ProcessLink] = {}
-        self.id_sharing = IdSharing(dispatcher, self.process, lambda: bool(self.links), self.broadcast)
+        self.id_sharing = IdSharing(
+            dispatcher, self.process, lambda: bool(self.links), self.broadcast, self.ask_newer
+        )
         self.list_changed = threading.Event()
         self.shares_list = False
         self.superseded = False  # whether a new process accepts clients in this one's place
@@ -179,27 +186,24 @@
 
     def follow(self, handover: Handover) -> None:
         """Apply what the old process has handed over, and whatever it tells from now on."""
-        link = ProcessLink(handover.channel, RemoteProcess(handover.process) if handover.process else None)
+        peer = RemoteProcess(handover.process) if handover.process else None
+        link = ProcessLink(handover.channel, peer, False)
         self.links[handover.channel] = link
         self.start_sharing()
         for update in handover.ids_in_use:
             self.apply_ids(link, update)
-        start_thread(lambda: self.serve_channel(link, False))
+        start_thread(lambda: self.serve_channel(link))
 
-    def catch_up(self, old_process: Channel) -> None:
-        """Wait until what the old process told before this call has been applied, for a bounded time.
+    def take_over(self, old_process: Channel) -> None:
+        """Tell the old process that this one accepts clients now; the old one stops accepting them.
 
-        To be called before clients are accepted: their requests may have ids that were claimed there since
-        the handover, and must not go to servers that operators took out of service since then.
+        Waits, for a bounded time, until it knows, and what it has told until then has been applied.  To be
+        called before clients are accepted: their requests may have ids that were claimed there since the
+        handover, and must not go to servers that operators took out of service since then.
         """
-        old_process.send_confirmed({})
-
-    def take_over(self, old_process: Channel) -> None:
-        """Tell the old process that this one accepts clients now; the old one stops accepting them."""
         self.dispatcher.scale_connection_limit(1, 2)
         self.clients.scale_limit(2, 3)
-        with suppress(OSError):
-            old_process.send({"taking": True})
+        old_process.send_confirmed({"taking": True})
         # Logged only after the message is sent: whoever reads the log may end this process then.  If the old
         # one did not know by that time that it had stopped accepting, it would never log that it is alone.
         self.dispatcher.events.event("succeeding")
@@ -248,38 +252,58 @@
                 os.close(failed.process_descriptor)
             channel.close()
         else:
-            self.serve_channel(link, True)
+            self.serve_channel(link)
 
-    def serve_channel(self, link: ProcessLink, to_new_process: bool) -> None:
+    def serve_channel(self, link: ProcessLink) -> None:
         """Handle the messages of the other process until the channel ends."""
         channel = link.channel
         new_process_serves = False
         try:
             while True:
                 message, _ = channel.receive()
-                if message.get("taking") and to_new_process:
-                    new_process_serves = self.superseded = True
-                    self.clients.pause_accepting(True)
-                    self.dispatcher.scale_connection_limit(1, 2)
-                    self.dispatcher.events.event("succeeded", clients=len(self.clients.open))
+                if message.pop("taking", False) and link.to_newer:
+                    new_process_serves = True
+                    self.yield_to(link)
                 self.handle_message(link, message)
         except (OSError, ChannelError, ValueError, TypeError, KeyError, IndexError) as error:
             self.log_fault(error)
         finally:
-            if not to_new_process:
+            if not link.to_newer:
                 self.has_taken_over.wait()
             self.links.pop(channel, None)
             channel.close()
             if new_process_serves:
                 # The new process has gone before this one was asked to end: this one accepts clients again.
                 self.superseded = False
+                self.stop_asking(link)
                 self.clients.pause_accepting(False)
-            if new_process_serves or not to_new_process:
+            if new_process_serves or not link.to_newer:
                 self.dispatcher.scale_connection_limit(1, 1)
                 self.clients.scale_limit(1, 1)
                 self.dispatcher.events.event("alone")
         self.end_link(link)
 
+    def yield_to(self, link: ProcessLink) -> None:
+        """Leave new connections, and the decision which ids may be used, to a new process.
+
+        On return it has been told of all ids that were claimed here without asking it.
+        """
+        self.superseded = True
+        self.clients.pause_accepting(True)
+        self.dispatcher.scale_connection_limit(1, 2)
+        if link.peer is not None:  # an older release answers no questions
+            link.id_grants = IdGrants(self.process, self.id_sharing.queue)
+            self.dispatcher.set_id_grants(link.id_grants)
+            self.id_sharing.flush(CONFIRM_TIMEOUT_S)
+        self.dispatcher.events.event("succeeded", clients=len(self.clients.open))
+
+    def stop_asking(self, link: ProcessLink) -> None:
+        """Ask another newer process for ids, or none, as this one has gone."""
+        if link.id_grants is not None:
+            remaining = [each.id_grants for each in list(self.links.values()) if each.id_grants is not None]
+            self.dispatcher.set_id_grants(remaining[-1] if remaining else None)
+            link.id_grants.end()
+
     def handle_message(self, link: ProcessLink, message: dict[str, Any]) -> None:
         """Apply what another process tells, pass it on to all others, and confirm changes."""
         if "done" in message:
@@ -287,6 +311,10 @@
         if "ids" in message:
             self.apply_ids(link, decode_update(message))
             self.broadcast(message, link.channel)
+        if "questions" in message:
+            self.answer_questions(link, decode_questions(message))
+        if "granted" in message:
+            self.note_answer(link, decode_answer(message))
         if "known" in message:
             self.adopt_list(str(message["host"]), message["known"])
             self.broadcast(message, link.channel)
@@ -297,6 +325,23 @@
                 self.propagate(message, link.channel)
             link.channel.send({"done": number})
 
+    def answer_questions(self, link: ProcessLink, questions: list[IdQuestion]) -> None:
+        """Hold the ids that an older process asks for, and answer it as far as no newer one decides."""
+        owner = link.process(questions[0].process)
+        if owner is not None:
+            answer = self.dispatcher.reserve_ids(owner, questions, self.id_sharing.queue)
+            if answer.granted or answer.refused:
+                link.channel.send(encode_answer(answer))
+
+    def note_answer(self, link: ProcessLink, answer: IdAnswer) -> None:
+        """Have the threads go on that wait for an answer, or pass it on to the process that asked."""
+        if answer.process != self.process:
+            self.send_to(
+                [each for each in list(self.links.values()) if not each.to_newer], encode_answer(answer)
+            )
+        elif link.id_grants is not None:
+            link.id_grants.note_answer(answer)
+
     def end_link(self, link: ProcessLink) -> None:
         """Wait for the end of the process whose channel has ended, then have its ids freed in time.
 
@@ -319,7 +364,7 @@
         message, _ = channel.receive()
         dispatcher = self.dispatcher
         name = str(message.get("process", ""))
-        link = ProcessLink(channel, RemoteProcess(name) if name else None)
+        link = ProcessLink(channel, RemoteProcess(name) if name else None, True)
         with channel.write_lock:
             # Changes from now on are sent after the answer, and may also be contained in it.
             self.links[channel] = link
@@ -372,10 +417,17 @@
 
     def broadcast(self, message: dict[str, Any], source: Channel | None = None) -> None:
         """Send a message to all connected processes but its source."""
-        for channel in list(self.links):
-            if channel is not source:
-                with suppress(OSError):  # that process has ended
-                    channel.send(message)
+        self.send_to([each for each in list(self.links.values()) if each.channel is not source], message)
+
+    def ask_newer(self, message: dict[str, Any]) -> None:
+        """Send a question to the processes that are to replace this one."""
+        self.send_to([each for each in list(self.links.values()) if each.to_newer], message)
+
+    def send_to(self, links: list[ProcessLink], message: dict[str, Any]) -> None:
+        """Send a message to these processes, of which some may have ended."""
+        for link in links:
+            with suppress(OSError):
+                link.channel.send(message)
 
     def propagate(self, message: dict[str, Any], source: Channel | None = None) -> None:
         """Have all connected processes but its source apply an operator's change, and wait for each."""
--- a/pumicepath/sidecar/id_sharing.py
+++ b/pumicepath/sidecar/id_sharing.py
@@ -13,6 +13,7 @@
 
 from . import clock
 from .dispatch import Dispatcher
+from .id_grants import IdQuestion, encode_questions
 from .servers import start_thread
 from .trace_ids import IdInUse
 
@@ -98,8 +99,17 @@
     shared: threading.Event | None = None
 
 
+class FlushMarker(NamedTuple):
+    """Is set once all that was queued before it has been sent."""
+
+    reached: threading.Event
+
+
 class IdSharing:
-    """Queues what happens to the ids of this process, and broadcasts it in a thread of its own."""
+    """Queues what happens to the ids of this process, and broadcasts it in a thread of its own.
+
+    Questions for ids are queued as well, and go to newer processes only (`ask`).
+    """
 
     def __init__(
         self,
@@ -107,12 +117,14 @@
         process: str,
         is_shared: Callable[[], bool],
         broadcast: Callable[[dict[str, Any]], None],
+        ask: Callable[[dict[str, Any]], None],
     ) -> None:
         self.dispatcher = dispatcher
         self.process = process
         self.is_shared = is_shared  # whether there is another process
         self.broadcast = broadcast
-        self.events: deque[IdEvent] = deque(maxlen=MAX_SHARED_IDS)
+        self.ask = ask
+        self.events: deque[IdEvent | IdQuestion | FlushMarker] = deque(maxlen=MAX_SHARED_IDS)
         self.pending = threading.Event()
         self.has_lost_events = False
         self.started = False
@@ -140,7 +152,13 @@
         if self.is_shared():
             self.queue(IdEvent(trace_id, 0))
 
-    def queue(self, event: IdEvent) -> None:
+    def flush(self, timeout_s: float) -> None:
+        """Wait until all that has been queued so far is sent, for a bounded time."""
+        marker = FlushMarker(threading.Event())
+        self.queue(marker)
+        marker.reached.wait(timeout_s)
+
+    def queue(self, event: IdEvent | IdQuestion | FlushMarker) -> None:
         """Queue an event; where the other process has taken none for long, the oldest is lost."""
         if len(self.events) == MAX_SHARED_IDS:
             self.has_lost_events = True
@@ -152,16 +170,32 @@
         while True:
             self.pending.wait()
             self.pending.clear()
-            events = [self.events.popleft() for _ in range(len(self.events))]
-            if events:
-                self.broadcast(encode_update(self.update_of(events)))
-            for event in events:
-                if event.shared is not None:
-                    event.shared.set()
+            queued = [self.events.popleft() for _ in range(len(self.events))]
+            self.send_events([each for each in queued if isinstance(each, IdEvent)])
+            self.send_questions([each for each in queued if isinstance(each, IdQuestion)])
+            for each in queued:
+                if isinstance(each, FlushMarker):
+                    each.reached.set()
             if self.has_lost_events:
                 self.has_lost_events = False
                 self.broadcast(encode_update(self.whole_update()))
 
+    def send_events(self, events: list[IdEvent]) -> None:
+        """Tell the other processes what has become of ids, and have those go on that wait for it."""
+        if events:
+            self.broadcast(encode_update(self.update_of(events)))
+        for event in events:
+            if event.shared is not None:
+                event.shared.set()
+
+    def send_questions(self, questions: list[IdQuestion]) -> None:
+        """Send the questions of each process, this one's and those that are passed on."""
+        by_process: dict[str, list[IdQuestion]] = {}
+        for question in questions:
+            by_process.setdefault(question.process, []).append(question)
+        for asked in by_process.values():
+            self.ask(encode_questions(asked))
+
     def update_of(self, events: list[IdEvent]) -> IdUpdate:
         """Return what has become of the ids by these events, the last of which counts."""
         claimed: dict[str, int] = {}
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -149,12 +149,10 @@
         **({"relays": len(config.relays)} if config.relays else {}),
     )
     if handover is not None:
-        hot_restart.catch_up(handover.channel)
+        hot_restart.take_over(handover.channel)
     start_thread(clients.overflow.run)
     start_thread(clients.run)
     if admin_server is not None:
-        if handover is not None:
-            hot_restart.take_over(handover.channel)
         start_thread(admin_server.run)
     while signal.sigwait(signals) == signal.SIGHUP:
         config = reload(config, path, dispatcher, watcher, log, peers)
--- a/pumicepath/sidecar/trace_ids.py
+++ b/pumicepath/sidecar/trace_ids.py
@@ -71,6 +71,7 @@
         self.is_open = is_open
         self.held: dict[str, HeldId] = {}
         self.queue: deque[QueuedId] = deque()  # the first to be looked at first
+        self.own = RemoteProcess("")  # the owner of ids that this process asks another one for
 
     def claim(self, now: int, trace_id: str, number: int, until: int, max_hold: int) -> bool:
         """Use an id until then and for as long as its exchange is open; False if it is in use.
@@ -78,9 +79,13 @@
         `until` is at most `max_hold` from now, which is also for how long an id is held on while it is open.
         """
         self.expire(now, max_hold)
-        if trace_id in self.held:
+        held = self.held.get(trace_id)
+        if held is None:
+            self.add(trace_id, HeldId(until, number))
+        elif held.owner is self.own:
+            self.held[trace_id] = HeldId(max(held.until, until), number)
+        else:
             return False
-        self.add(trace_id, HeldId(until, number))
         return True
 
     def hold(
@@ -104,6 +109,21 @@
         else:
             self.held[trace_id] = HeldId(max(held.until, until), NO_EXCHANGE, owner or held.owner)
 
+    def reserve(self, now: int, trace_id: str, until: int, max_hold: int, owner: RemoteProcess) -> bool:
+        """Hold an id until then for a process that is about to claim it; False if it is in use.
+
+        `owner` is another process, or `own` for this one, which may reserve it for several requests.
+        """
+        self.expire(now, max_hold)
+        held = self.held.get(trace_id)
+        if held is None:
+            self.add(trace_id, HeldId(until, NO_EXCHANGE, owner))
+        elif held.owner is not owner:
+            return False
+        else:
+            self.prolong(trace_id, until)
+        return True
+
     def prolong(self, trace_id: str, until: int) -> None:
         """Keep an id that is in use until then at least."""
         held = self.held.get(trace_id)
--- /dev/null
+++ b/tests/test_contended_ids.py
@@ -0,0 +1,216 @@
+"""An id that reaches both processes of a hot restart before they have told each other of it runs once."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import subprocess
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from pumicepath.http1 import writing
+from pumicepath.sidecar import clock
+from pumicepath.sidecar.id_grants import (
+    Grant,
+    IdAnswer,
+    IdGrants,
+    IdQuestion,
+    decode_answer,
+    decode_questions,
+    encode_answer,
+    encode_questions,
+)
+from pumicepath.sidecar.trace_ids import RemoteProcess, TraceIds
+
+from .rig import read_status, wait_until
+from .test_shared_ids import DEADLINE_S, SharedIdsRig, headers, kill
+
+CONNECTIONS = 12
+ROUNDS = 25
+MAX_HOLD = 1000
+
+
+class ContendedIdsRig(SharedIdsRig):
+    """Processes of one sidecar, and connections to each, in the order in which they were started."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self.connections: list[list[socket.socket]] = []
+
+    def connect_all(self) -> None:
+        """Connect to the newest process."""
+        self.connections.append([self.connect_to_newest() for _ in range(CONNECTIONS)])
+
+    def replace_connected(self) -> subprocess.Popen:
+        """Connect to the process that serves, and to the one that replaces it then; returns the first."""
+        if not self.connections:
+            self.connect_all()
+        old = self.replace()
+        self.connect_all()
+        return old
+
+    def send(self, name: str, sockets: list[socket.socket]) -> None:
+        """Send a request on each of the connections, the id of which depends on its position."""
+        for at, sock in enumerate(sockets):
+            sock.sendall(writing.request("POST", "/short", headers(f"{name} {at}"), b""))
+
+    def check_run_once(self, name: str) -> None:
+        """Read all answers, and check that each id ran once and was refused to all others that had it."""
+        for at, sockets in enumerate(zip(*self.connections, strict=True)):
+            answers = sorted(read_status(sock) for sock in sockets)
+            assert answers == [200] + [409] * (len(sockets) - 1)
+            self.check_runs(f"{name} {at}", 1)
+
+    def keep_alive(self) -> None:
+        """Have a request served on each connection, as several refusals in a row close it."""
+        for sockets in self.connections:
+            for sock in sockets:
+                self.served += 1
+                assert self.ask(f"served {self.served}", sock) == 200
+
+    def ask_in_thread(self, trace_id: str, sock: socket.socket) -> list[int]:
+        """Send a request; the status of its answer is added to the result once it comes."""
+        statuses: list[int] = []
+        sock.sendall(writing.request("POST", "/short", headers(trace_id), b""))
+        threading.Thread(target=lambda: statuses.append(read_status(sock)), daemon=True).start()
+        return statuses
+
+
+# Each process told the other of its claim, and sent the request without an answer to that.
+@pytest.mark.parametrize("processes", [2, 3])
+def test_an_id_that_is_sent_to_all_processes_at_once_runs_once(processes: int, tmp_path: Path) -> None:
+    rig = ContendedIdsRig(tmp_path)
+    with rig.deployment.running():
+        for _ in range(processes - 1):
+            rig.replace_connected()
+        for each in range(ROUNDS):
+            senders = [
+                threading.Thread(target=rig.send, args=(f"round {each}", sockets))
+                for sockets in rig.connections
+            ]
+            for sender in senders:
+                sender.start()
+            for sender in senders:
+                sender.join()
+            rig.check_run_once(f"round {each}")
+            rig.keep_alive()
+
+
+# A process that was stopped goes on with what its clients have sent, beside what it is told of meanwhile.
+@pytest.mark.parametrize("stopped", ["old", "new"])
+def test_an_id_that_is_sent_to_both_processes_while_one_is_stopped_runs_once(
+    stopped: str, tmp_path: Path
+) -> None:
+    rig = ContendedIdsRig(tmp_path)
+    with rig.deployment.running():
+        old = rig.replace_connected()
+        process = old if stopped == "old" else rig.deployment.process
+        for each in range(ROUNDS):
+            process.send_signal(signal.SIGSTOP)
+            for sockets in rig.connections:
+                rig.send(f"round {each}", sockets)
+            process.send_signal(signal.SIGCONT)
+            rig.check_run_once(f"round {each}")
+            rig.keep_alive()
+
+
+# Without an answer from the new process nothing may go out, and the client must not wait beyond its deadline.
+def test_a_request_is_refused_in_time_while_the_new_process_does_not_answer(tmp_path: Path) -> None:
+    rig = ContendedIdsRig(tmp_path)
+    with rig.deployment.running() as deployment:
+        rig.replace_connected()
+        sock = rig.connections[0][0]
+        deployment.process.send_signal(signal.SIGSTOP)
+        begun_at = time.monotonic()
+        assert rig.ask("stopped", sock) == 503
+        assert time.monotonic() - begun_at < DEADLINE_S
+        rig.check_runs("stopped", 0)
+        read = writing.request("GET", "/short", [*headers("read")[:2], ("X-Qos", "read")])
+        sock.sendall(read)
+        assert read_status(sock) == 200  # it may run twice, and waits for nobody
+        deployment.process.send_signal(signal.SIGCONT)
+        assert rig.ask("goes on", sock) == 200
+
+
+def test_a_request_goes_on_once_the_new_process_has_been_killed(tmp_path: Path) -> None:
+    rig = ContendedIdsRig(tmp_path)
+    with rig.deployment.running() as deployment:
+        rig.replace_connected()
+        deployment.process.send_signal(signal.SIGSTOP)
+        statuses = rig.ask_in_thread("waiting", rig.connections[0][0])
+        kill(deployment.process)
+        wait_until(lambda: statuses)
+        assert statuses == [200]
+        rig.check_runs("waiting", 1)
+
+
+# The process between had granted nothing itself, and the one that was to answer had gone.
+def test_a_request_goes_on_once_the_third_process_has_been_killed(tmp_path: Path) -> None:
+    rig = ContendedIdsRig(tmp_path)
+    with rig.deployment.running() as deployment:
+        rig.replace_connected()
+        rig.replace_connected()
+        deployment.process.send_signal(signal.SIGSTOP)
+        statuses = rig.ask_in_thread("waiting", rig.connections[0][0])
+        kill(deployment.process)
+        wait_until(lambda: statuses)
+        assert statuses == [200]
+        rig.check_runs("waiting", 1)
+
+
+def test_an_id_is_reserved_only_for_the_process_that_asked_first_and_for_its_time() -> None:
+    ids = TraceIds(lambda number: False)
+    first, second = RemoteProcess("first"), RemoteProcess("second")
+    assert ids.claim(0, "own", 1, 50, MAX_HOLD)
+    assert not ids.reserve(0, "own", 100, MAX_HOLD, first)
+    assert ids.reserve(0, "asked", 100, MAX_HOLD, first)
+    assert ids.reserve(10, "asked", 200, MAX_HOLD, first)  # asked again, as the answer was late
+    assert not ids.reserve(10, "asked", 200, MAX_HOLD, second)
+    assert not ids.claim(199, "asked", 2, 300, MAX_HOLD)
+    assert ids.claim(200, "asked", 2, 300, MAX_HOLD)  # the first never claimed it
+
+
+def test_an_id_that_is_asked_for_here_is_used_by_one_request_of_this_process_only() -> None:
+    ids = TraceIds(lambda number: False)
+    other = RemoteProcess("other")
+    assert ids.reserve(0, "asked", 100, MAX_HOLD, ids.own)
+    assert ids.reserve(0, "asked", 100, MAX_HOLD, ids.own)  # by another client
+    assert not ids.reserve(0, "asked", 100, MAX_HOLD, other)
+    assert ids.claim(10, "asked", 1, 110, MAX_HOLD)
+    assert not ids.claim(10, "asked", 2, 110, MAX_HOLD)
+    assert ids.reserve(10, "lost", 100, MAX_HOLD, ids.own)
+    ids.hold(10, "lost", 100, MAX_HOLD, other)  # the other process was first
+    assert not ids.claim(20, "lost", 3, 120, MAX_HOLD)
+
+
+def test_questions_are_repeated_until_they_are_answered() -> None:
+    sent: list[IdQuestion] = []
+    id_grants = IdGrants("old", sent.append)
+    grants: list[Grant] = []
+    until = clock.now() + 20_000_000
+    thread = threading.Thread(target=lambda: grants.append(id_grants.ask("id", until)), daemon=True)
+    thread.start()
+    wait_until(lambda: len(sent) > 1)
+    assert set(sent) == {IdQuestion("old", 1, "id", until)}
+    id_grants.note_answer(IdAnswer("old", [], [1]))
+    thread.join(20)
+    id_grants.note_answer(IdAnswer("old", [1], []))  # to the question that was repeated
+    assert grants == [Grant.IN_USE] and not id_grants.pending
+
+
+def test_a_question_without_an_answer_is_given_up_in_time() -> None:
+    id_grants = IdGrants("old", lambda question: None)
+    assert id_grants.ask("id", clock.now() + 1000) == Grant.UNANSWERED
+    assert not id_grants.pending
+    id_grants.end()
+    assert id_grants.ask("id", clock.now() + 1000) == Grant.GRANTED
+
+
+def test_questions_and_answers_are_decoded_as_they_were_encoded() -> None:
+    questions = [IdQuestion("old", 1, "id", 5000), IdQuestion("old", 2, "other", 7000)]
+    assert decode_questions(encode_questions(questions)) == questions
+    answer = IdAnswer("old", [1], [2])
+    assert decode_answer(encode_answer(answer)) == answer
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -267,7 +267,7 @@
     rig.dispatcher.events = RecordingLog()  # type: ignore[assignment]
     HotRestart(rig.dispatcher, rig.clients, dict, Address("127.0.0.1", 1)).take_over(Channel(own_end))
     other_end.close()
-    assert messages == [{"taking": True}]
+    assert messages == [{"taking": True, "number": 1}]  # to be confirmed
 
 
 def test_with_two_new_processes_at_once_one_may_end_and_the_other_serves(tmp_path: Path) -> None:
--- a/tests/test_shared_ids.py
+++ b/tests/test_shared_ids.py
@@ -295,7 +295,7 @@
         update = IdUpdate(old.process, [("open", clock.now() + 1_000_000)], [])
         old.broadcast(encode_update(update))
         assert reached.acquire(timeout=20) and reached.acquire(timeout=20)
-        catching_up = threading.Thread(target=new.catch_up, args=(handover.channel,), daemon=True)
+        catching_up = threading.Thread(target=new.take_over, args=(handover.channel,), daemon=True)
         catching_up.start()
         wait_until(lambda: handover.channel.last_sent)
         resume.release()
--- a/tests/test_trace_ids.py
+++ b/tests/test_trace_ids.py
@@ -186,7 +186,7 @@
     monkeypatch.setattr(id_sharing, "MAX_SHARED_IDS", 3)
     rig = Rig(tmp_path)
     told: queue.SimpleQueue[dict] = queue.SimpleQueue()
-    sharing = IdSharing(rig.dispatcher, "here", lambda: True, told.put)
+    sharing = IdSharing(rig.dispatcher, "here", lambda: True, told.put, told.put)
     for number in range(4):
         sharing.note_ended(f"{number}")
     rig.dispatcher.exchanges[1] = object()  # type: ignore[assignment]
