Move what the dispatcher knows of ids into a class of its own, IdRegistry

Change: `id_registry.py` has them, with the lock's runner as an argument; no behaviour changes.

Measured: the tests of ids, hot restarts, crossings, shutdown and the sidecar pass, compiled, as before.

--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -26,12 +26,12 @@
 from .decision_log import Decision, DecisionLog, RefusalReason
 from .delay_monitor import DelayMonitor
 from .exchange import Exchange, Hop, UploadDeadline
-from .id_grants import Grant, IdAnswer, IdGrants, IdQuestion
+from .id_grants import Grant, IdGrants
+from .id_registry import IdRegistry
 from .log import Log
 from .memory_account import MemoryAccount, MemoryBudget, MemoryShare, resident_bytes
 from .servers import Pool, ServerConnection
 from .timers import PostponedTimer, TimerQueue
-from .trace_ids import IdInUse, RemoteProcess, TraceIds
 
 NO_DEADLINE_US = (1 << 63) - 1
 MAX_THREAD_DELAY_US = 10_000  # above this scheduling delay of our own threads, latency timers are postponed
@@ -40,14 +40,6 @@
 ActiveConfig = tuple[Config, tuple[ClassState, ...]]
 
 
-def ignore_id(trace_id: str, until: int) -> None:
-    """Tell nobody that an id is in use: there is no other process."""
-
-
-def ignore_end(trace_id: str) -> None:
-    """Tell nobody that the exchange of an id has ended: there is no other process."""
-
-
 def must_ask(class_state: ClassState) -> bool:
     """Whether a request of this class must not run in two processes."""
     return class_state.request_class.effect != Effect.IDEMPOTENT
@@ -65,11 +57,6 @@
         self.combining_lock = CombiningLock(self.log_fault)
         self.timers = TimerQueue()
         self.exchanges: dict[int, Exchange] = {}
-        # Both are called with the lock held, and must not block.
-        self.on_id_claimed: Callable[[str, int], None] = ignore_id
-        self.on_id_ended: Callable[[str], None] = ignore_end
-        # Asked before ids are used for what must not run twice; None: this process decides alone.
-        self.id_grants: IdGrants | None = None
         self.admitted = 0
         self.draining = False  # since SIGTERM
         self.shutdown_at = NO_DEADLINE_US  # when all admitted requests must be answered, set on SIGTERM
@@ -89,7 +76,7 @@
         self.read_ahead = MemoryShare(self.memory, READ_AHEAD_PARTS)
         self.pool = Pool(self, config, log)
         self.streaming: set[int] = set()  # exchanges whose answer is being streamed, by number
-        self.trace_ids = TraceIds(self.is_open)
+        self.ids = IdRegistry(self.run_locked, self.is_open, lambda: self.max_deadline)
         self.balancer = Balancer(config.settings, config.seed, self)
         # Replaced as a whole: a thread reads it once per request and uses that one until the answer.
         self.active_config: ActiveConfig = (config, self.balancer.class_states)
@@ -162,7 +149,7 @@
         long as its body or answer is being streamed.
         """
         while True:
-            asked = self.id_grants if must_ask(class_state) else None
+            asked = self.ids.grants if must_ask(class_state) else None
             if asked is not None:
                 grant = self.ask_for_id(exchange, asked)
                 if grant != Grant.GRANTED:
@@ -176,8 +163,8 @@
 
         Meanwhile the id is refused to older processes.
         """
-        until = self.id_held_until(clock.now(), exchange)
-        if not self.reserve_own_id(exchange.trace_id, until):
+        until = self.ids.held_until(clock.now(), exchange.deadline_at)
+        if not self.ids.reserve_own(exchange.trace_id, until):
             return Grant.IN_USE
         exchange.client.before_blocking()
         try:
@@ -185,21 +172,6 @@
         finally:
             exchange.client.acquire_slot()
 
-    def reserve_own_id(self, trace_id: str, until: int) -> bool:
-        """Hold an id for requests of this process; False if it is in use."""
-        is_reserved = False
-
-        def call(now: int) -> None:
-            nonlocal is_reserved
-            is_reserved = self.trace_ids.reserve(now, trace_id, until, self.max_deadline, self.trace_ids.own)
-
-        self.run_locked(call)
-        return is_reserved
-
-    def id_held_until(self, now: int, exchange: Exchange) -> int:
-        """Return until when the id of an exchange that begins now is held at least."""
-        return min(exchange.deadline_at, now + self.max_deadline)
-
     def submit_granted(
         self, exchange: Exchange, class_state: ClassState, key: int, retry: bool, asked: IdGrants | None
     ) -> Grant:
@@ -208,15 +180,13 @@
 
         def call(now: int) -> None:
             nonlocal grant
-            if self.id_grants not in (None, asked) and must_ask(class_state):
+            if self.ids.grants not in (None, asked) and must_ask(class_state):
                 grant = Grant.UNASKED
                 return
-            until = self.id_held_until(now, exchange)
             number = self.admitted + 1
-            if not self.trace_ids.claim(now, exchange.trace_id, number, until, self.max_deadline):
+            if not self.ids.claim(now, exchange.trace_id, number, exchange.deadline_at):
                 return
             grant = Grant.GRANTED
-            self.on_id_claimed(exchange.trace_id, until)
             self.admitted = number
             exchange.number = self.admitted
             self.exchanges[exchange.number] = exchange
@@ -281,9 +251,7 @@
                 return
             exchange.submission.body_complete(now, hop.number, exchange.deadline_at)
             # From here on a server may run it, and may do so up to the deadline, whatever becomes of the hop.
-            until = min(exchange.deadline_at, now + self.max_deadline)
-            self.trace_ids.prolong(exchange.trace_id, until)
-            self.on_id_claimed(exchange.trace_id, until)
+            self.ids.prolong(now, exchange.trace_id, exchange.deadline_at)
             self.set_timer(exchange.deadline_at, exchange)
 
         self.run_locked(call)
@@ -412,14 +380,14 @@
     def remove(self, exchange: Exchange) -> None:
         """Forget an exchange; called with the lock held."""
         if self.exchanges.pop(exchange.number, None) is not None and not self.is_open(exchange.number):
-            self.on_id_ended(exchange.trace_id)
+            self.ids.on_ended(exchange.trace_id)
 
     def end_streaming(self, exchange: Exchange) -> None:
         """Note that the answer of an exchange is not being streamed any more; called with the lock held."""
         if exchange.number in self.streaming:
             self.streaming.discard(exchange.number)
             if not self.is_open(exchange.number):
-                self.on_id_ended(exchange.trace_id)
+                self.ids.on_ended(exchange.trace_id)
 
     def is_open(self, number: int) -> bool:
         """Whether the exchange with a number is open or its answer is being streamed; needs the lock."""
@@ -445,74 +413,6 @@
         self.run_locked(call)
         return bool(accepted)
 
-    def hold_ids(self, ids: list[tuple[str, int]], owner: RemoteProcess | None, is_whole: bool) -> None:
-        """Keep ids that another process uses, each until its time, and while it is open at the `owner`.
-
-        With `is_whole` the owner has no other ones open.
-        """
-
-        def call(now: int) -> None:
-            if owner is not None and is_whole:
-                owner.open_ids.clear()
-            for trace_id, until in ids:
-                self.trace_ids.hold(now, trace_id, until, self.max_deadline, owner)
-
-        self.run_locked(call)
-
-    def set_id_grants(self, id_grants: IdGrants | None) -> None:
-        """Ask a newer process for ids from now on, or none."""
-
-        def call(now: int) -> None:
-            self.id_grants = id_grants
-
-        self.run_locked(call)
-
-    def reserve_ids(
-        self, owner: RemoteProcess, questions: list[IdQuestion], pass_on: Callable[[IdQuestion], None]
-    ) -> IdAnswer:
-        """Hold ids for another process that asks for them; returns the answers that are known here.
-
-        What is not refused is passed on to newer processes, of which one that serves answers.  `pass_on` must
-        not block.
-        """
-
-        def call(now: int) -> None:
-            for question in questions:
-                if not self.trace_ids.reserve(
-                    now, question.trace_id, question.until, self.max_deadline, owner
-                ):
-                    answer.refused.append(question.number)
-                    continue
-                pass_on(question)
-                if self.id_grants is None:
-                    answer.granted.append(question.number)
-
-        answer = IdAnswer(owner.name, [], [])
-        self.run_locked(call)
-        return answer
-
-    def end_ids(self, owner: RemoteProcess, ended: list[str]) -> None:
-        """Note that these exchanges of another process have ended."""
-        self.run_locked(lambda now: owner.open_ids.difference_update(ended))
-
-    def end_process(self, owner: RemoteProcess, grace: int) -> None:
-        """Note that another process has ended, or that it will have in `grace` microseconds."""
-
-        def call(now: int) -> None:
-            owner.ended_at = now + grace
-
-        self.run_locked(call)
-
-    def ids_in_use(self) -> list[IdInUse]:
-        """Return the ids in use, those of open exchanges last."""
-
-        def call(now: int) -> None:
-            ids.extend(self.trace_ids.in_use(now, self.max_deadline))
-
-        ids: list[IdInUse] = []
-        self.run_locked(call)
-        return ids
-
     def set_peer_trials(self, peer_trials: PeerTrials | None) -> None:
         """Coordinate half-open trials of unhealthy servers with other sidecars, or with none of them."""
 
--- a/pumicepath/sidecar/hot_restart.py
+++ b/pumicepath/sidecar/hot_restart.py
@@ -293,7 +293,7 @@
         self.dispatcher.scale_connection_limit(1, 2)
         if link.peer is not None:  # an older release answers no questions
             link.id_grants = IdGrants(self.process, self.id_sharing.queue)
-            self.dispatcher.set_id_grants(link.id_grants)
+            self.dispatcher.ids.set_grants(link.id_grants)
             self.id_sharing.flush(CONFIRM_TIMEOUT_S)
         self.dispatcher.events.event("succeeded", clients=len(self.clients.open))
 
@@ -301,7 +301,7 @@
         """Ask another newer process for ids, or none, as this one has gone."""
         if link.id_grants is not None:
             remaining = [each.id_grants for each in list(self.links.values()) if each.id_grants is not None]
-            self.dispatcher.set_id_grants(remaining[-1] if remaining else None)
+            self.dispatcher.ids.set_grants(remaining[-1] if remaining else None)
             link.id_grants.end()
 
     def handle_message(self, link: ProcessLink, message: dict[str, Any]) -> None:
@@ -329,7 +329,7 @@
         """Hold the ids that an older process asks for, and answer it as far as no newer one decides."""
         owner = link.process(questions[0].process)
         if owner is not None:
-            answer = self.dispatcher.reserve_ids(owner, questions, self.id_sharing.queue)
+            answer = self.dispatcher.ids.reserve(owner, questions, self.id_sharing.queue)
             if answer.granted or answer.refused:
                 link.channel.send(encode_answer(answer))
 
@@ -349,10 +349,10 @@
         through it, older ones were asked to end before it served, and newer ones outlive this one.
         """
         for process in link.others.values():
-            self.dispatcher.end_process(process, self.dispatcher.max_deadline + KILLED_AFTER_US)
+            self.dispatcher.ids.end_process(process, self.dispatcher.max_deadline + KILLED_AFTER_US)
         wait_for_end(link.process_descriptor)
         if link.peer is not None:
-            self.dispatcher.end_process(link.peer, 0)
+            self.dispatcher.ids.end_process(link.peer, 0)
 
     def log_fault(self, error: Exception) -> None:
         """Log an error of a channel, unless it has only ended."""
@@ -371,7 +371,7 @@
             self.start_sharing()
             out_of_service, back_in_service = dispatcher.operator_state()
             answer = {
-                **encode_in_use(dispatcher.ids_in_use(), self.process),
+                **encode_in_use(dispatcher.ids.in_use(), self.process),
                 "process": self.process,
                 "version": PROTOCOL_VERSION,
                 "known": self.known_list(),
@@ -394,9 +394,9 @@
     def apply_ids(self, link: ProcessLink, update: IdUpdate) -> None:
         """Apply what another process tells of its ids."""
         owner = link.process(update.process)
-        self.dispatcher.hold_ids(update.claimed, owner, update.is_whole)
+        self.dispatcher.ids.hold(update.claimed, owner, update.is_whole)
         if owner is not None and update.ended:
-            self.dispatcher.end_ids(owner, update.ended)
+            self.dispatcher.ids.end(owner, update.ended)
 
     def start_sharing(self) -> None:
         """Tell the other processes of ids and lists from now on, if that was not started before."""
--- a/pumicepath/sidecar/id_sharing.py
+++ b/pumicepath/sidecar/id_sharing.py
@@ -133,8 +133,8 @@
         """Broadcast whatever happens from now on; nothing changes if this was called before."""
         if not self.started:
             self.started = True
-            self.dispatcher.on_id_claimed = self.note_claimed
-            self.dispatcher.on_id_ended = self.note_ended
+            self.dispatcher.ids.on_claimed = self.note_claimed
+            self.dispatcher.ids.on_ended = self.note_ended
             start_thread(self.run)
 
     def note_claimed(self, trace_id: str, until: int) -> None:
@@ -210,7 +210,7 @@
 
     def whole_update(self) -> IdUpdate:
         """Return all ids whose exchange is open here."""
-        ids = self.dispatcher.ids_in_use()
+        ids = self.dispatcher.ids.in_use()
         claimed = [(each.trace_id, each.until) for each in ids if each.is_open and each.owner is None]
         return IdUpdate(self.process, claimed, [], True)
 
--- a/tests/test_shared_ids.py
+++ b/tests/test_shared_ids.py
@@ -21,8 +21,8 @@
 from pumicepath.http1.parsing import RequestParser, ResponseParser
 from pumicepath.lab.loopback.scripted import ScriptedServer, http_response, read_message
 from pumicepath.sidecar import clock
-from pumicepath.sidecar.dispatch import Dispatcher
 from pumicepath.sidecar.hot_restart import HotRestart, request_handover
+from pumicepath.sidecar.id_registry import IdRegistry
 from pumicepath.sidecar.id_sharing import IdUpdate, encode_update
 
 from .rig import Rig, paused, read_status, wait_until
@@ -289,7 +289,7 @@
     new = HotRestart(new_rig.dispatcher, new_rig.clients, dict, listen)
     handover = request_handover(listen, new.process)
     assert handover is not None
-    with paused(monkeypatch, Dispatcher, "hold_ids") as (reached, resume):
+    with paused(monkeypatch, IdRegistry, "hold") as (reached, resume):
         threading.Thread(target=new.follow, args=(handover,), daemon=True).start()
         resume.release()  # what was handed over
         update = IdUpdate(old.process, [("open", clock.now() + 1_000_000)], [])
@@ -300,4 +300,4 @@
         wait_until(lambda: handover.channel.last_sent)
         resume.release()
         catching_up.join(20)
-        assert "open" in new_rig.dispatcher.trace_ids.held
+        assert "open" in new_rig.dispatcher.ids.trace_ids.held
--- a/tests/test_trace_ids.py
+++ b/tests/test_trace_ids.py
@@ -190,7 +190,7 @@
     for number in range(4):
         sharing.note_ended(f"{number}")
     rig.dispatcher.exchanges[1] = object()  # type: ignore[assignment]
-    rig.dispatcher.trace_ids.claim(clock.now(), "open", 1, clock.now() + 1_000_000, 1_000_000)
+    rig.dispatcher.ids.trace_ids.claim(clock.now(), "open", 1, clock.now() + 1_000_000, 1_000_000)
     sharing.start()
     assert decode_update(told.get(timeout=20)).ended == ["1", "2", "3"]
     whole = decode_update(told.get(timeout=20))
