Split the request for a hand-over from the processes' dealings during a hot restart

Need: `hot_restart.py` held both what a new process does before it serves (`request_handover`, the socket's path, what is handed over) and what all processes do from then on. Change: the former is `handover.py`; names are imported from where they are defined. No behaviour changes.

--- a/pumicepath/sidecar/hot_restart.py
+++ b/pumicepath/sidecar/hot_restart.py
@@ -1,134 +1,39 @@
-"""Hot restart: the channel between an old and a new process, which hands over all that must keep running.
+"""Hot restart: hands over to a new process, and keeps all processes of this sidecar acting as one.
 
-The new process calls `request_handover` first; in the old one `HotRestart` answers it. From then on
+The new process calls `handover.request_handover` first; in the old one `HotRestart` answers it. From then on
 `HotRestart` in both processes applies the changes that operators make at either.
 """
 
 from __future__ import annotations
 
 import os
-import secrets
 import socket
 import threading
 from collections.abc import Callable
 from contextlib import suppress
-from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 from ..discovery.server_list import Address
 from . import clock
 from .clients import Clients
 from .dispatch import Dispatcher
+from .handover import (
+    PROTOCOL_VERSION,
+    SOCKET_NAME,
+    Handover,
+    ShortPath,
+    create_process_name,
+    encode_times,
+    socket_path,
+)
 from .handover_channel import CONFIRM_TIMEOUT_S, Channel, ChannelError, open_peer_process, wait_for_end
 from .id_grants import IdAnswer, IdGrants, IdQuestion, decode_answer, decode_questions, encode_answer
-from .id_sharing import IdSharing, IdUpdate, decode_in_use, decode_update, encode_in_use
+from .id_sharing import IdSharing, IdUpdate, decode_update, encode_in_use
 from .servers import start_thread
 from .trace_ids import RemoteProcess
 
-__all__ = ["Channel", "ChannelError", "Handover", "HotRestart", "request_handover"]
-
-SOCKET_NAME = "pumicepath.succession"
-PROTOCOL_VERSION = 1
-# The old process has this long to answer a request for a handover.
-HANDOVER_TIMEOUT_S = 1.0
 # A process that was asked to end is killed this long after the longest deadline at the earliest.
 KILLED_AFTER_US = 700_000
-PROCESS_NAME_BYTES = 8
-
-
-class Handover(NamedTuple):
-    """What the old process hands to the new one.
-
-    `listener` is None if the old process listens at another address. `out_of_service` and `back_in_service`
-    have the servers that an operator has taken out, or put back, each with the time since when, in
-    microseconds of the sidecar's clock. `drained_by_operator`: clients are to be sent away. `process` is the
-    old process's name, or empty for an older release, and `ids_in_use` what it and others have in use.
-    """
-
-    channel: Channel
-    listener: socket.socket | None
-    known_list: Any
-    out_of_service: dict[int, int]
-    back_in_service: dict[int, int]
-    drained_by_operator: bool
-    ids_in_use: list[IdUpdate]
-    process: str
-
-
-def encode_times(times: dict[int, int]) -> list[list[int]]:
-    """Encode times by server for a message, as times of the machine's monotonic clock, which both share."""
-    return [[server, clock.to_monotonic(time)] for server, time in sorted(times.items())]
-
-
-def decode_times(times: list[list[int]]) -> dict[int, int]:
-    """Decode what `encode_times` has made into times of this process's clock."""
-    return {int(server): clock.from_monotonic(int(time)) for server, time in times}
-
-
-def socket_path() -> Path | None:
-    """Return where the serving process is reached, or None if $TMPDIR is not set."""
-    folder = os.environ.get("TMPDIR", "")
-    return Path(folder) / SOCKET_NAME if folder else None
-
-
-class ShortPath:
-    """Gives a path short enough for a socket's address, whose length the kernel limits to 107 bytes."""
-
-    def __init__(self, path: Path) -> None:
-        self.path = path
-
-    def __enter__(self) -> str:
-        self.folder = os.open(self.path.parent, os.O_RDONLY | os.O_DIRECTORY)
-        return f"/proc/self/fd/{self.folder}/{self.path.name}"
-
-    def __exit__(self, *_: object) -> None:
-        os.close(self.folder)
-
-
-def create_process_name() -> str:
-    """Return a name for this process that no other one has."""
-    return secrets.token_hex(PROCESS_NAME_BYTES)
-
-
-def request_handover(listen: Address, process: str = "") -> Handover | None:
-    """Ask the process that serves at this address for a handover; `process` is the name of this one.
-
-    Returns None if there is none or it gives no valid answer in time: this process then starts from nothing,
-    so that a socket that a dead process left behind cannot stop it from starting.
-    """
-    path = socket_path()
-    if path is None or not path.exists():
-        return None
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-    descriptors: list[int] = []
-    try:
-        sock.settimeout(HANDOVER_TIMEOUT_S)
-        with ShortPath(path) as short:
-            sock.connect(short)
-        channel = Channel(sock)
-        channel.send({"version": PROTOCOL_VERSION, "listen": list(listen), "process": process})
-        answer, descriptors = channel.receive()
-        if answer.get("version") != PROTOCOL_VERSION:
-            raise ChannelError(f"version {answer.get('version')}")
-        listener = socket.socket(fileno=descriptors.pop()) if descriptors else None
-        sock.settimeout(None)
-        if "wall_offset" in answer:
-            clock.wall.inherit(int(answer["wall_offset"]))
-        return Handover(
-            channel,
-            listener,
-            answer["known"],
-            decode_times(answer["by_hand"]),
-            decode_times(answer["returned"]),
-            bool(answer["emptied"]),
-            decode_in_use(answer),
-            str(answer.get("process", "")),
-        )
-    except (OSError, ChannelError, ValueError, TypeError, KeyError, AttributeError):
-        for each in descriptors:
-            os.close(each)
-        sock.close()
-        return None
 
 
 class ProcessLink:
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -25,7 +25,8 @@
 from .clients import Clients
 from .config import Config, ConfigError
 from .dispatch import Dispatcher
-from .hot_restart import Handover, HotRestart, create_process_name, request_handover
+from .handover import Handover, create_process_name, request_handover
+from .hot_restart import HotRestart
 from .log import Log
 from .servers import start_thread
 from .watching import Watcher
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -16,7 +16,9 @@
 from pumicepath.http1 import writing
 from pumicepath.http1.parsing import RequestParser, ResponseParser
 from pumicepath.lab.loopback.scripted import Deployment, ScriptedServer, http_response, read_message
-from pumicepath.sidecar.hot_restart import SOCKET_NAME, Channel, HotRestart, ShortPath, request_handover
+from pumicepath.sidecar.handover import SOCKET_NAME, ShortPath, request_handover
+from pumicepath.sidecar.handover_channel import Channel
+from pumicepath.sidecar.hot_restart import HotRestart
 
 from .helpers import check_trace
 from .rig import Rig, paused, read_status, wait_until
--- a/tests/test_shared_ids.py
+++ b/tests/test_shared_ids.py
@@ -21,7 +21,8 @@
 from pumicepath.http1.parsing import RequestParser, ResponseParser
 from pumicepath.lab.loopback.scripted import ScriptedServer, http_response, read_message
 from pumicepath.sidecar import clock
-from pumicepath.sidecar.hot_restart import HotRestart, request_handover
+from pumicepath.sidecar.handover import request_handover
+from pumicepath.sidecar.hot_restart import HotRestart
 from pumicepath.sidecar.id_registry import IdRegistry
 from pumicepath.sidecar.id_sharing import IdUpdate, encode_update
 
