Use ids at a new process once the old one has confirmed that it asks for them

What callers saw: while the old process of a hot restart is stopped just as it is replaced, a request that must not run twice and reaches both processes under one id runs at both.

Cause: the new process waited half a second for the confirmation of its notice and went on without it. That bound belongs to operators' calls, which must not hang.

Change: the new process accepts clients as before, but requests that must not run twice wait, up to their deadline, until the old process has confirmed or ended. A process between two others confirms only when it may decide itself. The old process has 5 s instead of 0.5 to tell what it had claimed before it confirms.

--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -148,6 +148,8 @@
         A trace id stays in use until the submission's deadline, even when it has been answered, and for as
         long as its body or answer is being streamed.
         """
+        if must_ask(class_state) and not self.ids.decides.is_set() and not self.wait_to_decide(exchange):
+            return Grant.UNANSWERED
         while True:
             asked = self.ids.grants if must_ask(class_state) else None
             if asked is not None:
@@ -158,6 +160,14 @@
             if grant != Grant.UNASKED:
                 return grant
 
+    def wait_to_decide(self, exchange: Exchange) -> bool:
+        """Wait until this process decides which ids may be used, for as long as the exchange has time."""
+        exchange.client.before_blocking()
+        try:
+            return self.ids.wait_to_decide(self.ids.held_until(clock.now(), exchange.deadline_at))
+        finally:
+            exchange.client.acquire_slot()
+
     def ask_for_id(self, exchange: Exchange, id_grants: IdGrants) -> Grant:
         """Ask another process for the use of an exchange's id; the client's thread waits for the answer.
 
--- a/pumicepath/sidecar/handover_channel.py
+++ b/pumicepath/sidecar/handover_channel.py
@@ -63,20 +63,28 @@
             raise ChannelError("the message is not an object")
         return message, descriptors
 
-    def send_confirmed(self, message: dict[str, Any]) -> None:
+    def send_confirmed(self, message: dict[str, Any]) -> int:
         """Have the other process apply a change, and wait until it has, at most `CONFIRM_TIMEOUT_S`.
 
-        The bound keeps an operator's call from hanging on a process that is stuck.
+        Returns the message's number.  The bound keeps an operator's call from hanging on a process that is
+        stuck.
         """
         with self.confirmation:
             self.last_sent += 1
             number = self.last_sent
         with suppress(OSError):
             self.send({**message, "number": number})
-            with self.confirmation:
-                self.confirmation.wait_for(
-                    lambda: self.last_confirmed >= number or self.closed, CONFIRM_TIMEOUT_S
-                )
+            self.wait_until_confirmed(number, CONFIRM_TIMEOUT_S)
+        return number
+
+    def wait_until_confirmed(self, number: int, timeout_s: float | None = None) -> bool:
+        """Wait until the other process has confirmed a message; False if the time or the channel ends first.
+
+        Without `timeout_s` it waits for as long as the channel is open.
+        """
+        with self.confirmation:
+            self.confirmation.wait_for(lambda: self.last_confirmed >= number or self.closed, timeout_s)
+            return self.last_confirmed >= number
 
     def note_confirmed(self, number: int) -> None:
         """Release whoever waits until the other process has confirmed this message."""
--- a/pumicepath/sidecar/hot_restart.py
+++ b/pumicepath/sidecar/hot_restart.py
@@ -26,7 +26,7 @@
     encode_times,
     socket_path,
 )
-from .handover_channel import CONFIRM_TIMEOUT_S, Channel, ChannelError, open_peer_process, wait_for_end
+from .handover_channel import Channel, ChannelError, open_peer_process, wait_for_end
 from .id_grants import IdAnswer, IdGrants, IdQuestion, decode_answer, decode_questions, encode_answer
 from .id_sharing import IdSharing, IdUpdate, decode_update, encode_in_use
 from .servers import start_thread
@@ -34,6 +34,8 @@
 
 # A process that was asked to end is killed this long after the longest deadline at the earliest.
 KILLED_AFTER_US = 700_000
+# To tell a new process of all ids in use before it decides; longer than a process may be stopped.
+FLUSH_TIMEOUT_S = 5.0
 
 
 class ProcessLink:
@@ -108,12 +110,27 @@
         """
         self.dispatcher.scale_connection_limit(1, 2)
         self.clients.scale_limit(2, 3)
-        old_process.send_confirmed({"taking": True})
+        link = self.links.get(old_process)
+        is_asked = link is not None and link.peer is not None  # an older release asks nothing
+        if is_asked:
+            self.dispatcher.ids.decides.clear()
+        number = old_process.send_confirmed({"taking": True})
+        if is_asked:
+            start_thread(lambda: self.decide_once_confirmed(old_process, number))
         # Logged only after the message is sent: whoever reads the log may end this process then.  If the old
         # one did not know by that time that it had stopped accepting, it would never log that it is alone.
         self.dispatcher.events.event("succeeding")
         self.has_taken_over.set()
 
+    def decide_once_confirmed(self, old_process: Channel, number: int) -> None:
+        """Use ids once the old process has confirmed that it asks for them; the body of a thread.
+
+        One that is stopped while it is replaced sends what it had read when it goes on, and learns only then
+        that it was replaced.  If the channel ends first, the end of that process counts (`end_link`).
+        """
+        if old_process.wait_until_confirmed(number):
+            self.dispatcher.ids.decides.set()
+
     def open_socket(self) -> None:
         """Listen for a process that is to replace this one; without $TMPDIR none can."""
         path = socket_path()
@@ -169,6 +186,8 @@
                 if message.pop("taking", False) and link.to_newer:
                     new_process_serves = True
                     self.yield_to(link)
+                    if "number" in message:  # an older release waits for nothing
+                        self.confirm_takeover(link, int(message.pop("number")))
                 self.handle_message(link, message)
         except (OSError, ChannelError, ValueError, TypeError, KeyError, IndexError) as error:
             self.log_fault(error)
@@ -199,9 +218,23 @@
         if link.peer is not None:  # an older release answers no questions
             link.id_grants = IdGrants(self.process, self.id_sharing.queue)
             self.dispatcher.ids.set_grants(link.id_grants)
-            self.id_sharing.flush(CONFIRM_TIMEOUT_S)
+            self.id_sharing.flush(FLUSH_TIMEOUT_S)
         self.dispatcher.events.event("succeeded", clients=len(self.clients.open))
 
+    def confirm_takeover(self, link: ProcessLink, number: int) -> None:
+        """Confirm a new process's message, as soon as no older process uses ids without asking this one."""
+        ids = self.dispatcher.ids
+        if ids.decides.is_set():
+            link.channel.send({"done": number})
+            return
+
+        def confirm_later() -> None:
+            ids.decides.wait()
+            with suppress(OSError):  # the new process has ended
+                link.channel.send({"done": number})
+
+        start_thread(confirm_later)
+
     def stop_asking(self, link: ProcessLink) -> None:
         """Ask another newer process for ids, or none, as this one has gone."""
         if link.id_grants is not None:
@@ -258,6 +291,8 @@
         wait_for_end(link.process_descriptor)
         if link.peer is not None:
             self.dispatcher.ids.end_process(link.peer, 0)
+        if not link.to_newer:
+            self.dispatcher.ids.decides.set()
 
     def log_fault(self, error: Exception) -> None:
         """Log an error of a channel, unless it has only ended."""
--- a/pumicepath/sidecar/id_registry.py
+++ b/pumicepath/sidecar/id_registry.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable
 
+from . import clock
 from .id_grants import IdAnswer, IdGrants, IdQuestion
 from .trace_ids import IdInUse, RemoteProcess, TraceIds
 
@@ -40,6 +42,9 @@
         self.on_ended: Callable[[str], None] = ignore_end
         # Asked before ids are used for what must not run twice; None: this process decides alone.
         self.grants: IdGrants | None = None
+        # Whether an older process asks this one before it uses ids; until it does, they may be used at both.
+        self.decides = threading.Event()
+        self.decides.set()
 
     def held_until(self, now: int, deadline_at: int) -> int:
         """Return until when the id of an exchange that begins now is held at least."""
@@ -59,6 +64,10 @@
         self.trace_ids.prolong(trace_id, until)
         self.on_claimed(trace_id, until)
 
+    def wait_to_decide(self, deadline_at: int) -> bool:
+        """Wait until an older process leaves the decision to this one; False if that takes too long."""
+        return self.decides.wait(max(0, deadline_at - clock.now()) / 1e6)
+
     def set_grants(self, grants: IdGrants | None) -> None:
         """Ask a newer process for ids from now on, or none."""
 
--- a/tests/test_contended_ids.py
+++ b/tests/test_contended_ids.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import queue
 import signal
 import socket
 import subprocess
@@ -12,6 +14,8 @@
 import pytest
 
 from pumicepath.http1 import writing
+from pumicepath.http1.parsing import RequestParser
+from pumicepath.lab.loopback.scripted import ScriptedServer, http_response, read_message
 from pumicepath.sidecar import clock
 from pumicepath.sidecar.id_grants import (
     Grant,
@@ -118,6 +122,84 @@
             rig.keep_alive()
 
 
+class HeldDiscovery(ScriptedServer):
+    """Answers the first process that calls, and any other one once `may_answer` is set."""
+
+    def __init__(self, document: dict) -> None:
+        self.document = document
+        self.callers = 0
+        self.may_answer = threading.Event()
+        super().__init__("discovery", queue.SimpleQueue(), [])
+
+    def serve(self, sock: socket.socket) -> None:
+        parser = RequestParser()
+        self.callers += 1
+        if self.callers > 1:
+            self.may_answer.wait(20)
+        while read_message(sock, parser) is not None:
+            sock.sendall(http_response(200, json.dumps(self.document)))
+            read_message(sock, parser)  # waits for a change that never comes
+
+
+def replace_while_stopped(rig: ContendedIdsRig, discovery: HeldDiscovery) -> subprocess.Popen:
+    """Start a new process, and stop the old one between its hand-over and its notice that it is replaced."""
+    old = rig.deployment.process
+    rig.deployment.process = rig.deployment.start_process()
+    wait_until(lambda: discovery.callers == 2)  # the new process has the hand-over, and waits for its list
+    old.send_signal(signal.SIGSTOP)
+    discovery.may_answer.set()
+    rig.deployment.next_event("succeeding")
+    return old
+
+
+@pytest.fixture
+def held_discovery(tmp_path: Path) -> tuple[ContendedIdsRig, HeldDiscovery]:
+    rig = ContendedIdsRig(tmp_path)
+    discovery = HeldDiscovery(rig.deployment.list_document(1, True, "active"))
+    rig.deployment.configuration["discovery"] = discovery.address
+    rig.deployment.configuration["settings"]["membershipMode"] = "pushed"
+    rig.deployment.write_configuration()
+    return rig, discovery
+
+
+# The new process began to use ids after 0.5 s, though the old one did not know yet that it had to ask.
+def test_an_id_sent_to_both_processes_while_the_old_one_is_stopped_at_the_takeover_runs_once(
+    held_discovery: tuple[ContendedIdsRig, HeldDiscovery],
+) -> None:
+    rig, discovery = held_discovery
+    with rig.deployment.running():
+        rig.connect_all()
+        old = replace_while_stopped(rig, discovery)
+        rig.connections.append([rig.connect() for _ in range(CONNECTIONS)])
+        for sockets in rig.connections:
+            rig.send("both", sockets)
+        old.send_signal(signal.SIGCONT)
+        rig.check_run_once("both")
+
+
+@pytest.mark.parametrize("processes", [2, 3])
+@pytest.mark.parametrize("ends", ["killed", "goes on"])
+def test_the_newest_process_uses_ids_once_one_that_was_stopped_has_ended_or_learnt_of_it(
+    ends: str, processes: int, held_discovery: tuple[ContendedIdsRig, HeldDiscovery]
+) -> None:
+    rig, discovery = held_discovery
+    with rig.deployment.running():
+        old = replace_while_stopped(rig, discovery)
+        if processes == 3:
+            rig.replace()
+        sock = rig.connect()
+        assert rig.ask("refused", sock) == 503
+        rig.check_runs("refused", 0)
+        statuses = rig.ask_in_thread("waiting", sock)
+        if ends == "killed":
+            kill(old)
+        else:
+            old.send_signal(signal.SIGCONT)
+        wait_until(lambda: statuses)
+        assert statuses == [200]
+        rig.check_runs("waiting", 1)
+
+
 # Without an answer from the new process nothing may go out, and the client must not wait beyond its deadline.
 def test_a_request_is_refused_in_time_while_the_new_process_does_not_answer(tmp_path: Path) -> None:
     rig = ContendedIdsRig(tmp_path)
