Probe a late attempt's client with a byte of its answer instead of reading ahead

Cause: reading ahead took 10 ms without a further byte for a client that stays. Its end may come later: after lost segments, or behind small writes beside a busy machine. It looked from 32 kB of unread bytes on, and small segments fill the buffer with 16 kB; and each check that did not look counted as one that had seen the client.

Change: one byte of "HTTP/1.1 " is written. The machine of a client that has closed resets the connection, any other acknowledges it, at whatever speed. It is written wherever bytes are unread behind a late attempt, or an end has been seen. ClientInput and MemoryShare are gone.

--- a/pumicepath/sidecar/arrival.py
+++ b/pumicepath/sidecar/arrival.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import struct
 import sys
+import termios
 from contextlib import suppress
 
 from . import clock
@@ -16,6 +18,7 @@
 
 TCP_ESTABLISHED, TCP_CLOSE_WAIT = 1, 8  # TCP states (tcp_states.h)
 BYTES_RECEIVED = slice(128, 136)  # tcpi_bytes_received in struct tcp_info (linux/tcp.h)
+SIOCOUTQNSD = 0x894B  # linux/sockios.h; what was written and not sent yet
 SO_TIMESTAMPNS = 35  # asm-generic/socket.h; the socket module does not define it
 LAST_DATA_RECV = slice(52, 56)  # tcpi_last_data_recv in struct tcp_info, in milliseconds
 TIMESPEC = struct.Struct("qq")
@@ -41,19 +44,17 @@
     return now
 
 
-def receive(sock: socket.socket, buffer: memoryview, since: int, flags: int = 0) -> tuple[int, int]:
+def receive(sock: socket.socket, buffer: memoryview, since: int) -> tuple[int, int]:
     """Read once; returns the number of bytes and when they were received, no earlier than `since`.
 
-    `flags` as in recvmsg(2).  Raises OSError.
+    Raises OSError.
     """
     try:
-        count, control, _, _ = sock.recvmsg_into((buffer,), CONTROL_BYTES, flags)
+        count, control, _, _ = sock.recvmsg_into((buffer,), CONTROL_BYTES)
     except OSError as error:
         if error.errno not in LACK_OF_MEMORY:
             raise
-        count, control, _, _ = retry(
-            lambda: sock.recvmsg_into((buffer,), CONTROL_BYTES, flags), LACK_OF_MEMORY
-        )
+        count, control, _, _ = retry(lambda: sock.recvmsg_into((buffer,), CONTROL_BYTES), LACK_OF_MEMORY)
     now = clock.now()
     if control and len(control[0][2]) == TIMESPEC.size:
         seconds, nanoseconds = TIMESPEC.unpack(control[0][2])
@@ -91,9 +92,9 @@
     return tcp_state(sock) != TCP_ESTABLISHED
 
 
-def is_half_closed(sock: socket.socket) -> bool:
-    """Whether the peer has ended its sending: it may have closed the connection, or may still read."""
-    return tcp_state(sock) == TCP_CLOSE_WAIT
+def is_open(sock: socket.socket) -> bool:
+    """Whether the peer may still read: it has not reset the connection, but may have ended its sending."""
+    return tcp_state(sock) in (TCP_ESTABLISHED, TCP_CLOSE_WAIT)
 
 
 def tcp_state(sock: socket.socket) -> int | None:
@@ -104,6 +105,28 @@
         return None
 
 
+def count_bytes(sock: socket.socket, request: int) -> int:
+    """Return a count of bytes that an ioctl of tcp(7) tells; 0 without a connection."""
+    with suppress(OSError):
+        return int(struct.unpack("i", fcntl.ioctl(sock, request, bytes(4)))[0])
+    return 0
+
+
+def unread_bytes(sock: socket.socket) -> int:
+    """Return how many bytes wait in the socket's receive buffer."""
+    return count_bytes(sock, termios.FIONREAD)
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many bytes were written that the peer's machine has not acknowledged."""
+    return count_bytes(sock, termios.TIOCOUTQ)
+
+
+def unsent_bytes(sock: socket.socket) -> int:
+    """Return how many bytes were written that have not been sent, as the peer has no room for them."""
+    return count_bytes(sock, SIOCOUTQNSD)
+
+
 def shutdown(sock: socket.socket, how: int) -> bool:
     """Shut down a socket (`how` as in socket.shutdown); True if `is_closed` is meaningless from now on.
 
--- a/pumicepath/sidecar/body_arrival.py
+++ b/pumicepath/sidecar/body_arrival.py
@@ -7,14 +7,12 @@
 
 from __future__ import annotations
 
-import fcntl
 import socket
-import struct
-import termios
-from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 
+from .arrival import unread_bytes
+
 SEND_BUFFER_LIMITS = Path("/proc/sys/net/ipv4/tcp_wmem")  # least, default and greatest size (tcp(7))
 DEFAULT_SEND_BUFFER_BYTES = 4 << 20
 
@@ -26,23 +24,15 @@
     return DEFAULT_SEND_BUFFER_BYTES
 
 
-def unread_bytes(sock: socket.socket) -> int:
-    """Return how many bytes wait in the socket's receive buffer; 0 if the platform doesn't tell."""
-    with suppress(OSError):
-        return int(struct.unpack("i", fcntl.ioctl(sock, termios.FIONREAD, bytes(4)))[0])
-    return 0
-
-
 class BodyArrival:
     """Bounds on the time of a body's last byte; written by the client's thread, read by the timer thread.
 
     `unfinished_at` is the latest known time at which the last byte had certainly not been written, and
-    `last_byte_at` when what was read last was written, or a lower bound.  `bytes_read` counts what was read,
-    and `count_unread` what has arrived and was not read yet.
+    `last_byte_at` when what was read last was written, or a lower bound.  `bytes_read` counts what was read.
     """
 
-    def __init__(self, count_unread: Callable[[], int], now: int) -> None:
-        self.count_unread = count_unread
+    def __init__(self, sock: socket.socket, now: int) -> None:
+        self.sock = sock
         self.unfinished_at = self.last_byte_at = now
         self.bytes_read = 0
         self.send_buffer = max_send_buffer()
@@ -64,7 +54,7 @@
     def examine_buffers(self, now: int, left: int | None) -> None:
         """Note what the buffers show; `left`: bytes of the body that have not been read, None if unknown."""
         bytes_read = self.bytes_read  # before the buffer is looked at, which the client's thread may empty
-        unread = self.count_unread()
+        unread = unread_bytes(self.sock)
         if left is not None and left - unread > self.send_buffer:
             self.note_unfinished(now)
         arrived = bytes_read + unread
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -19,7 +19,6 @@
 from ..http1.parsing import START, RequestParser
 from . import answers, arrival, clock
 from .bulkhead import BulkheadEntry
-from .client_input import ClientInput
 from .client_presence import CHECK_AFTER_US, ClientPresence
 from .decision_log import CloseReason, Decision, RefusalReason
 from .dispatch import Dispatcher
@@ -108,8 +107,7 @@
         self.answered = threading.Event()
         self.state_lock = threading.Lock()
         self.writer = SocketWriter(sock)
-        self.input = ClientInput(sock, owner.dispatcher.read_ahead)
-        self.presence = ClientPresence(sock, self.input)
+        self.presence = ClientPresence(sock)
         self.memory = Reservation(owner.dispatcher.memory, MemoryKind.REQUESTS)
         self.transfers = BulkheadEntry(owner.dispatcher.bulkheads.transfers)
         self.local_work = BulkheadEntry(owner.dispatcher.bulkheads.local_answers)
@@ -146,7 +144,6 @@
             self.leave_bulkheads()
             self.release_slot()
             self.memory.release()
-            self.input.release()
             self.owner.remove(self)
             self.sock.close()
             reason = self.close_reason or CloseReason.CLIENT_CLOSED
@@ -210,7 +207,7 @@
                     self.refuse_for_memory(parser)
                 return
             space = parser.ring.writable(wanted)
-            count, received_at = self.input.receive(space, self.received_after)
+            count, received_at = arrival.receive(self.sock, space, self.received_after)
             del space
             if not count:
                 if parser.is_idle() or not self.is_read_shutdown():
@@ -579,7 +576,17 @@
 
     def has_left(self) -> bool:
         """Whether the client is known to have closed the connection, or failed to send its body."""
-        return self.has_failed_upload() or self.presence.has_left()
+        if self.has_failed_upload():
+            return True
+        if not self.presence.has_ended_sending():
+            return False
+        held_slot = self.holds_slot
+        self.before_blocking()
+        try:
+            return self.presence.has_left()
+        finally:
+            if held_slot:
+                self.acquire_slot()
 
     def is_there(self) -> bool:
         """Whether something may be sent for the client; False also where that can't be known."""
@@ -648,8 +655,6 @@
 
     def has_unread_bytes(self) -> bool:
         """Whether bytes are waiting that the connection's thread has not read yet."""
-        if self.input.backlog:
-            return True
         try:
             return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
--- a/pumicepath/sidecar/client_presence.py
+++ b/pumicepath/sidecar/client_presence.py
@@ -1,9 +1,10 @@
 """Whether a client is still there, as nothing may be sent to a server for one that has gone.
 
 A client that has closed its connection has gone; one that has only shut its sending side down and still reads
-has not.  Both end their sending in the same way, and are told apart by the first bytes of the answer, which
-are the same for every answer: a closed connection is reset by them.  Times are whole microseconds of
-`clock.now()`.
+has not.  What the kernel shows of the connection does not tell: both end their sending in the same way, and
+while bytes are unread the end may wait behind them, in the client's own buffer.  So the beginning of the
+answer is written, which is the same for every answer: the machine of a client that has gone resets the
+connection, that of any other acknowledges it.  Times are whole microseconds of `clock.now()`.
 """
 
 from __future__ import annotations
@@ -12,14 +13,23 @@
 import socket
 import threading
 from contextlib import suppress
+from enum import Enum, auto
 
 from ..http1.writing import STATUS_LINE_START
 from . import arrival, clock
-from .client_input import ClientInput, InputState
 
 CHECK_AFTER_US = 5_000  # before this, a client is assumed to be still there
 HIDDEN_END_AFTER_US = 80_000  # a client that closed since it was seen may get one sent 0.1 s later
-RESET_WAIT_MS = 10  # for the reset of a closed connection that was written to
+PROBE_TIMEOUT_US = 500_000  # a machine may hold an acknowledgement back for 0.2 s
+PROBE_INTERVAL_MS = 2
+
+
+class Presence(Enum):
+    """What a probe has found."""
+
+    THERE = auto()
+    GONE = auto()
+    UNKNOWN = auto()  # neither a reset nor an acknowledgement came
 
 
 class AnswerStart:
@@ -37,12 +47,16 @@
             self.written = 0
             self.is_taken = False
 
-    def write(self) -> None:
-        """Write the first bytes, unless that was done before or an answer is being written."""
+    def write_byte(self) -> bool:
+        """Write one byte more; False if all are written, an answer is, or the connection takes none."""
         with self.lock:
-            if not self.is_taken and not self.written:
-                with suppress(OSError):  # full: the client has not read for long; or broken, which shows
-                    self.written = self.sock.send(STATUS_LINE_START, socket.MSG_DONTWAIT)
+            if self.is_taken or self.written == len(STATUS_LINE_START):
+                return False
+            with suppress(OSError):  # full, as the client has not read for long; or broken, which shows
+                byte = STATUS_LINE_START[self.written : self.written + 1]
+                self.written += self.sock.send(byte, socket.MSG_DONTWAIT)
+                return True
+            return False
 
     def take(self) -> int:
         """Return how many bytes of the answer were written; from now on it is written by the caller."""
@@ -55,9 +69,8 @@
 class ClientPresence:
     """What is known of one client's presence; used by the connection's own thread."""
 
-    def __init__(self, sock: socket.socket, client_input: ClientInput) -> None:
+    def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
-        self.input = client_input
         self.answer_start = AnswerStart(sock)
         self.seen_at = 0  # when the client was certainly there last
         self.had_unread_bytes = False  # behind the request before, so that it wrote the next one at some time
@@ -75,7 +88,7 @@
 
     def request_ended(self, more_has_come: bool) -> None:
         """Note that a request has ended, and whether the next one had begun to come by then."""
-        self.had_unread_bytes = more_has_come or self.input.unread_bytes() > 0
+        self.had_unread_bytes = more_has_come or arrival.unread_bytes(self.sock) > 0
 
     def age(self, now: int) -> int:
         """How long ago the client was certainly there."""
@@ -85,36 +98,53 @@
         """Whether the client is known to have closed the connection, or its sending side."""
         return not self.close_undetectable and arrival.is_closed(self.sock)
 
-    def is_there(self) -> bool:
-        """Whether something may be sent for the client now.
+    def may_hide_end(self) -> bool:
+        """Whether the client's end could be behind bytes that nobody has read.
 
-        False as well if that can't be known, since more is unread than may be read ahead.
+        How many it takes to fill the receive buffer depends on the pieces in which they came.
         """
+        return self.had_unread_bytes or arrival.unread_bytes(self.sock) > 0
+
+    def is_there(self) -> bool:
+        """Whether something may be sent for the client now; False as well if that can't be known."""
         now = clock.now()
         age = self.age(now)
         if age <= CHECK_AFTER_US:
             return True
         if not self.has_ended_sending():
-            if age <= HIDDEN_END_AFTER_US or not self.input.may_hide_end():
+            if not self.may_hide_end():
                 self.seen_at = now
                 return True
-            if self.input.look_for_end() == InputState.UNKNOWN:
-                return False
-        if self.has_left():
-            return False
-        self.seen_at = now
-        return True
+            if age <= HIDDEN_END_AFTER_US:
+                return True
+        return self.probe() == Presence.THERE
 
     def has_left(self) -> bool:
         """Whether the client has closed the connection, as far as the kernel knows; while it is answered."""
-        return self.has_ended_sending() and not self.still_reads()
-
-    def still_reads(self) -> bool:
-        """Whether a client that has ended its sending still reads: its answer's first bytes reset nothing."""
-        if not arrival.is_half_closed(self.sock):
-            return False
-        self.answer_start.write()
+        return self.has_ended_sending() and self.probe() == Presence.GONE
+
+    def probe(self) -> Presence:
+        """Write a byte of the answer, and wait for what the client's machine makes of it."""
+        wait_us = PROBE_TIMEOUT_US if self.answer_start.write_byte() else 0
+        presence = self.wait_for_reaction(wait_us)
+        if presence == Presence.THERE:
+            self.seen_at = clock.now()
+        return presence
+
+    def wait_for_reaction(self, wait_us: int) -> Presence:
+        """Wait for a reset, or for the acknowledgement of all that was written."""
         poll = select.poll()
         poll.register(self.sock, 0)  # errors and the end of both directions only
-        poll.poll(RESET_WAIT_MS)
-        return arrival.is_half_closed(self.sock)
+        give_up_at = clock.now() + wait_us
+        while True:
+            is_acknowledged = wait_us > 0 and not arrival.unacknowledged_bytes(self.sock)
+            if not arrival.is_open(self.sock):
+                return Presence.GONE
+            if is_acknowledged:
+                return Presence.THERE
+            if clock.now() >= give_up_at:
+                break
+            poll.poll(PROBE_INTERVAL_MS)
+        # What can't be sent waits for a client that has not read for long.  As it has unread bytes, its close
+        # would be a reset, which waits behind nothing.
+        return Presence.THERE if arrival.unsent_bytes(self.sock) else Presence.UNKNOWN
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -20,7 +20,6 @@
 from . import answers, clock
 from .admission_gate import AdmissionGate
 from .bulkhead import Bulkheads
-from .client_input import READ_AHEAD_PARTS
 from .combining_lock import CombiningLock
 from .config import ACCEPT_HEADROOM, BASE_MEMORY_BYTES, Config
 from .decision_log import Decision, DecisionLog, RefusalReason
@@ -29,7 +28,7 @@
 from .id_grants import Grant, IdGrants
 from .id_registry import IdRegistry
 from .log import Log
-from .memory_account import MemoryAccount, MemoryBudget, MemoryShare, resident_bytes
+from .memory_account import MemoryAccount, MemoryBudget, resident_bytes
 from .servers import Pool, ServerConnection
 from .timers import PostponedTimer, TimerQueue
 
@@ -73,7 +72,6 @@
         )
         self.bulkheads = Bulkheads()
         self.memory = MemoryAccount(self.memory_budget.for_messages(1))
-        self.read_ahead = MemoryShare(self.memory, READ_AHEAD_PARTS)
         self.pool = Pool(self, config, log)
         self.streaming: set[int] = set()  # exchanges whose answer is being streamed, by number
         self.ids = IdRegistry(self.run_locked, self.is_open, lambda: self.max_deadline)
--- a/pumicepath/sidecar/exchange.py
+++ b/pumicepath/sidecar/exchange.py
@@ -11,7 +11,7 @@
 from ..http1.parsing import ResponseParser
 from ..interface import RESPONSE_STALL_US, Effect, Outcome, TimerHandler
 from ..invariants import check_invariant
-from . import answers
+from . import answers, clock
 from .bulkhead import BulkheadEntry
 from .memory_account import MemoryAccount, MemoryKind, Reservation
 
@@ -187,13 +187,20 @@
         """Whether it has its final answer and no hop in flight."""
         return self.submission is not None and self.submission.is_finished()
 
-    def may_write(self, now: int, hop: Hop) -> bool:
+    def may_write(self, hop: Hop) -> bool:
         """Whether a hop may still be sent, checked just before its request is written.
 
         Connecting may have taken long and the thread may have waited, so what held when the hop was chosen
         may hold no longer: the client may have left or been answered, and the servers that deduplicate it may
-        have forgotten an earlier hop, so that its work would be done twice.
+        have forgotten an earlier hop, so that its work would be done twice.  To look for the client may take
+        long as well.
         """
+        return (
+            self.is_wanted(clock.now(), hop) and self.client.is_there() and self.is_wanted(clock.now(), hop)
+        )
+
+    def is_wanted(self, now: int, hop: Hop) -> bool:
+        """Whether a hop may still be sent if its client is there."""
         if hop.ended or self.answered or now >= self.deadline_at:
             return False
         if hop.number and self.submission is not None:
@@ -205,7 +212,7 @@
                 other.may_have_run and now > other.sent_at + request_class.dedup_window for other in earlier
             ):
                 return False
-        return self.client.is_there()
+        return True
 
     def end_upload(self, now: int) -> None:
         """End all hops at the deadline, before the body's last byte was sent; called with the lock held.
--- a/pumicepath/sidecar/memory_account.py
+++ b/pumicepath/sidecar/memory_account.py
@@ -110,24 +110,6 @@
             }
 
 
-class MemoryShare:
-    """A part of an account that one use may not go beyond; for any thread."""
-
-    def __init__(self, account: MemoryAccount, parts: int) -> None:
-        self.account = account
-        self.parts = parts  # the use gets one of so many
-        self.lock = threading.Lock()
-        self.held = 0
-
-    def change(self, count: int) -> bool:
-        """Count `count` bytes more, or less; False if the part does not allow it."""
-        with self.lock:
-            if count > 0 and self.held + count > self.account.limit // self.parts:
-                return False
-            self.held += count
-        return True
-
-
 class Reservation:
     """What one connection has reserved for one kind; used by one thread at a time."""
 
--- a/pumicepath/sidecar/servers.py
+++ b/pumicepath/sidecar/servers.py
@@ -103,7 +103,7 @@
                 self.discard_socket()
             if self.sock is None:
                 self.connect(self.instance.address, hop)
-            if not hop.exchange.may_write(clock.now(), hop):
+            if not hop.exchange.may_write(hop):
                 return Outcome.MOOT, None, not hop.ended  # nothing was sent on the connection
             self.send_request(hop)
         except UploadError:
--- a/pumicepath/sidecar/upload.py
+++ b/pumicepath/sidecar/upload.py
@@ -13,10 +13,9 @@
 from ..http1 import writing
 from ..http1.messages import MalformedMessageError
 from ..http1.parsing import RequestParser
-from . import clock
+from . import arrival, clock
 from .body_arrival import BodyArrival
 from .bulkhead import BulkheadEntry
-from .client_input import ClientInput
 from .exchange import UploadError, UploadFailure
 from .memory_account import MemoryKind, Reservation
 from .sending_rate import SendingRate
@@ -31,7 +30,6 @@
     """The client's connection, as seen by its upload."""
 
     sock: socket.socket
-    input: ClientInput
     sending_rate: SendingRate
     memory: Reservation
     transfers: BulkheadEntry
@@ -59,7 +57,7 @@
         self.started = False
         self.complete = False
         self.failure: UploadFailure | None = None
-        self.arrival = BodyArrival(client.input.unread_bytes, clock.now())
+        self.arrival = BodyArrival(client.sock, clock.now())
         client.memory.move_to(MemoryKind.UPLOADS)
 
     @property
@@ -117,7 +115,7 @@
             wanted = 0  # less at a time, for which there is always room
         space = self.parser.ring.writable(wanted)
         try:
-            count, received_at = self.client.input.receive(space, rate.waiting_since)
+            count, received_at = arrival.receive(self.client.sock, space, rate.waiting_since)
         except BlockingIOError:
             self.arrival.note_unfinished(clock.now())
             count = 0
@@ -156,7 +154,7 @@
 
     def unfinished_since(self, now: int) -> int:
         """Return the latest time at which the client can't have written its last byte yet; for any thread."""
-        if self.client.sending_rate.waiting_since and not self.client.input.unread_bytes():
+        if self.client.sending_rate.waiting_since and not arrival.unread_bytes(self.client.sock):
             return now  # its thread waits, and nothing has come
         self.arrival.examine_buffers(now, self.bytes_left())
         return self.arrival.unfinished_at
