--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -39,6 +39,9 @@
 def test_each(how): assert how != "a b"
 """
 ALL_ENTRIES = "\n\n".join([ONE_ENTRY, entry("test_broken", "no disk"), entry("test_each[a b]", "a space")])
+NOT_DECIDING = ONE_ENTRY + "\ndecides: no"
+PASSING_NOT_DECIDING = entry("test_green") + "\ndecides: no"
+OTHERS = "\n\n".join([entry("test_broken"), entry("test_each[a b]")])
 PASSING = ALL_ENTRIES.replace("::test_broken", "::test_green")
 
 
@@ -59,6 +62,22 @@
         (ONE_ENTRY.rpartition("\n")[0], 4, "KNOWN-RED.txt:5: not 'issue: ...': ''"),
         (entry("test_red", issue="soon"), 4, "KNOWN-RED.txt:5: issue: no number: 'soon'"),
         (entry("test_blue"), 4, "names no test"),
+        (
+            OTHERS + "\n\n" + NOT_DECIDING,
+            0,
+            PRINTED.replace("known red:", "known red, not deciding, failed:"),
+        ),
+        (
+            ALL_ENTRIES + "\n\n" + PASSING_NOT_DECIDING,
+            0,
+            "known red, not deciding, passed: tests/test_one.py::test_green: the clock steps",
+        ),
+        (NOT_DECIDING, 1, "1 failed, 1 passed, 1 xfailed, 1 error"),
+        (ONE_ENTRY + "\ndecides: yes", 4, "KNOWN-RED.txt:6: after the last key: 'decides: yes'"),
+        (NOT_DECIDING + "\ndecides: no", 4, "KNOWN-RED.txt:6: after the last key: 'decides: no'"),
+        ("decides: no", 4, "KNOWN-RED.txt:1: not 'test: ...': ''"),
+        (NOT_DECIDING.replace("seed: none\n", ""), 4, "KNOWN-RED.txt:3: not 'seed: ...': 'seen: "),
+        (entry("test_blue") + "\ndecides: no", 4, "names no test"),
     ],
     ids=[
         "no file",
@@ -75,6 +94,14 @@
         "no issue",
         "issue without a number",
         "no test",
+        "one that does not decide fails",
+        "one that does not decide passes, besides three",
+        "others fail beside one that does not decide",
+        "decides in other words",
+        "decides twice",
+        "nothing but decides",
+        "does not decide, without a seed",
+        "does not decide, and no test",
     ],
 )
 def test_only_the_listed_failures_pass(
