Tests: have the clock stand still where a test gives ages and counts microseconds

Both set ages by the clock and then compare with limits that real time can pass meanwhile: a connection that ends is evictable after 100 ms, of which the test left 90, and the bucket of an upload had 10 ms to spare.

Shown: with a pause of 0.1 s and of 15 ms put in, the same two fail in just that way, and three more of the file with them. With the clock of the sidecar standing still they pass, with the pauses and without; what they ask is unchanged.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Expected failures: tests listed in `KNOWN-RED.txt` at the repository root may fail without failing the run.
+"""Fixtures, and expected failures: tests in `KNOWN-RED.txt` at the root may fail without failing the run.
 
 The file has one entry for each test, with a blank line between two of them:
 
@@ -23,6 +23,8 @@
 
 import pytest
 
+from pumicepath.sidecar import clock
+
 FILE_NAME = "KNOWN-RED.txt"
 MAX_ENTRIES = 3
 
@@ -45,6 +47,13 @@
         return f"{self.test}: {self.seen} (seed {self.seed}, issue {self.issue}; {self.command})"
 
 
+@pytest.fixture
+def still_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have no time pass for what reads the sidecar's clock, however long the test is kept from running."""
+    time_us = clock.now()
+    monkeypatch.setattr(clock, "now", lambda: time_us)
+
+
 def parse_entry(number: int, lines: list[str]) -> KnownFailure:
     """Parse the entry that begins at line `number`.  Raises UsageError that names file, line and key."""
     values: list[str] = []
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -222,6 +222,7 @@
     assert peak < 48, f"{peak} MB for 120 MB under way"
 
 
+@pytest.mark.usefixtures("still_clock")
 def test_uploads_slower_than_the_minimum_rate_are_aborted() -> None:
     class Sender:
         evicted = False
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -131,6 +131,7 @@
         return False
 
 
+@pytest.mark.usefixtures("still_clock")
 def test_where_places_are_scarce_clients_that_stopped_make_way_and_slow_ones_stay(tmp_path: Path) -> None:
     slow = [(PARTIAL, 100_000, 0), (PARTIAL, 900_000, 500_000), (BUSY, 900_000, 500_000), (BUSY, 250_000, 0)]
     stopped = [
@@ -146,6 +147,7 @@
     assert ended == [False] * len(slow) + [True] * len(stopped)
 
 
+@pytest.mark.usefixtures("still_clock")
 def test_no_more_stopped_clients_are_ended_than_are_in_the_way(tmp_path: Path) -> None:
     """Those already on their way out make place as well; the next search must not end as many again."""
     clients = clients_in_one_state(tmp_path, [(PARTIAL, 900_000 + at, 0) for at in range(40)])
@@ -157,6 +159,7 @@
     assert ended == [False] * 22 + [True] * 18  # ten above the limit and eight more, the longest silent ones
 
 
+@pytest.mark.usefixtures("still_clock")
 def test_resting_connections_make_way_at_once_whatever_else_is_ending(tmp_path: Path) -> None:
     """They were spared for connections that were closing already, and new clients waited to be accepted."""
     clients = clients_in_one_state(tmp_path, [(CLOSING, 10_000, 0)] * 20 + [(IDLE, 200_000, 0)] * 20)
@@ -165,6 +168,7 @@
     assert [client.state for client in clients.open] == [CLOSING] * 20 + [DRAINING] * 18 + [IDLE] * 2
 
 
+@pytest.mark.usefixtures("still_clock")
 def test_stalled_uploads_give_up_connections_to_servers_that_others_wait_for(tmp_path: Path) -> None:
     clients = clients_in_one_state(
         tmp_path, [(BUSY, 900_000, 0), (BUSY, 100_000, 0), (BUSY, 900_000, 500_000)]
@@ -176,6 +180,7 @@
     assert [client.evicted for client in clients.open] == [True, False, False]
 
 
+@pytest.mark.usefixtures("still_clock")
 def test_stalled_clients_of_a_replaced_process_leave_its_part_of_the_limits_to_the_new_one(
     tmp_path: Path,
 ) -> None:
@@ -196,6 +201,7 @@
     ]
 
 
+@pytest.mark.usefixtures("still_clock")
 def test_a_reader_that_stops_makes_way_after_seconds(tmp_path: Path) -> None:
     clients = clients_in_one_state(tmp_path, [(BUSY, 0, 0), (BUSY, 0, 0)])
     for client, blocked_us in zip(clients.open, (2 * SECOND_US, 4 * SECOND_US)):
