See a client's reset by poll, also where the platform tells only a connection's state

Cause: whether a reset had come was asked of struct tcp_info, which that platform does not keep: CLOSE_WAIT for a closed client for ever, and 0 unacknowledged bytes at once.

Change: poll tells of the reset. Where a segment size of 0 shows that the platform tells no more than the state, no acknowledgement is believed: a client is there after 20 ms without a reset.

The new test fails before in both forms.

--- a/pumicepath/sidecar/arrival.py
+++ b/pumicepath/sidecar/arrival.py
@@ -16,7 +16,8 @@
 from . import clock
 from .transient import LACK_OF_MEMORY, retry
 
-TCP_ESTABLISHED, TCP_CLOSE_WAIT = 1, 8  # TCP states (tcp_states.h)
+TCP_ESTABLISHED = 1  # a TCP state (tcp_states.h)
+SEGMENT_SIZE = slice(16, 20)  # tcpi_snd_mss in struct tcp_info; never 0
 BYTES_RECEIVED = slice(128, 136)  # tcpi_bytes_received in struct tcp_info (linux/tcp.h)
 SIOCOUTQNSD = 0x894B  # linux/sockios.h; what was written and not sent yet
 SO_TIMESTAMPNS = 35  # asm-generic/socket.h; the socket module does not define it
@@ -92,11 +93,6 @@
     return tcp_state(sock) != TCP_ESTABLISHED
 
 
-def is_open(sock: socket.socket) -> bool:
-    """Whether the peer may still read: it has not reset the connection, but may have ended its sending."""
-    return tcp_state(sock) in (TCP_ESTABLISHED, TCP_CLOSE_WAIT)
-
-
 def tcp_state(sock: socket.socket) -> int | None:
     """Return the connection's state, None without a connection."""
     try:
@@ -122,6 +118,14 @@
     return count_bytes(sock, termios.TIOCOUTQ)
 
 
+def tells_acknowledgements(sock: socket.socket) -> bool:
+    """Whether the platform counts what is acknowledged; some tell no more of a connection than its state."""
+    with suppress(OSError):
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, SEGMENT_SIZE.stop)
+        return any(info[SEGMENT_SIZE])
+    return True
+
+
 def unsent_bytes(sock: socket.socket) -> int:
     """Return how many bytes were written that have not been sent, as the peer has no room for them."""
     return count_bytes(sock, SIOCOUTQNSD)
--- a/pumicepath/sidecar/client_presence.py
+++ b/pumicepath/sidecar/client_presence.py
@@ -22,6 +22,7 @@
 HIDDEN_END_AFTER_US = 80_000  # a client that closed since it was seen may get one sent 0.1 s later
 PROBE_TIMEOUT_US = 500_000  # a machine may hold an acknowledgement back for 0.2 s
 PROBE_INTERVAL_MS = 2
+RESET_WAIT_US = 20_000  # for a reset, on platforms that tell nothing of acknowledgements
 
 
 class Presence(Enum):
@@ -125,26 +126,32 @@
 
     def probe(self) -> Presence:
         """Write a byte of the answer, and wait for what the client's machine makes of it."""
-        wait_us = PROBE_TIMEOUT_US if self.answer_start.write_byte() else 0
-        presence = self.wait_for_reaction(wait_us)
+        presence = self.wait_for_reaction(self.answer_start.write_byte())
         if presence == Presence.THERE:
             self.seen_at = clock.now()
         return presence
 
-    def wait_for_reaction(self, wait_us: int) -> Presence:
-        """Wait for a reset, or for the acknowledgement of all that was written."""
+    def wait_for_reaction(self, is_written: bool) -> Presence:
+        """Wait for a reset, or for the acknowledgement of what was written, if a byte was just now."""
         poll = select.poll()
         poll.register(self.sock, 0)  # errors and the end of both directions only
-        give_up_at = clock.now() + wait_us
+        written_at = clock.now()
         while True:
-            is_acknowledged = wait_us > 0 and not arrival.unacknowledged_bytes(self.sock)
-            if not arrival.is_open(self.sock):
+            waited = clock.now() - written_at
+            is_acknowledged = is_written and self.is_acknowledged(waited)
+            if poll.poll(0):
                 return Presence.GONE
             if is_acknowledged:
                 return Presence.THERE
-            if clock.now() >= give_up_at:
+            if not is_written or waited >= PROBE_TIMEOUT_US:
                 break
             poll.poll(PROBE_INTERVAL_MS)
         # What can't be sent waits for a client that has not read for long.  As it has unread bytes, its close
         # would be a reset, which waits behind nothing.
         return Presence.THERE if arrival.unsent_bytes(self.sock) else Presence.UNKNOWN
+
+    def is_acknowledged(self, waited: int) -> bool:
+        """Whether the client's machine has acknowledged all that was written, the last of it so long ago."""
+        if arrival.tells_acknowledgements(self.sock):
+            return not arrival.unacknowledged_bytes(self.sock)
+        return waited >= RESET_WAIT_US
--- a/tests/test_hidden_close.py
+++ b/tests/test_hidden_close.py
@@ -15,7 +15,7 @@
 from pumicepath.http1.parsing import RequestParser, ResponseParser
 from pumicepath.http1.writing import STATUS_LINE_START
 from pumicepath.lab.loopback.scripted import http_response, read_message
-from pumicepath.sidecar import client_presence, clock
+from pumicepath.sidecar import arrival, client_presence, clock
 from pumicepath.sidecar.arrival import unread_bytes
 from pumicepath.sidecar.body_arrival import max_send_buffer
 from pumicepath.sidecar.client_presence import ClientPresence, Presence
@@ -29,6 +29,7 @@
 LENGTHS = [40_000, 65_535, 65_537, 80_000, 131_072, 400_000, 2_000_000, 3_900_000]
 CHUNK_SIZES = [7, 1000, 65_536, 400_000]
 LONG_BYTES = 400_000
+TCP_CLOSE_WAIT = 8  # a TCP state (tcp_states.h)
 
 
 def request_with_body(name: str, length: int, request_class: str = "once") -> bytes:
@@ -282,6 +283,22 @@
     assert presence.probe() == Presence.GONE
 
 
+# The operators' bench: a closed client was taken for there, as the state of a connection stays what it was.
+@pytest.mark.parametrize("closes", [True, False])
+def test_a_reset_is_seen_where_the_platform_tells_only_the_state_before_it(
+    closes: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(arrival, "tcp_state", lambda sock: TCP_CLOSE_WAIT)
+    monkeypatch.setattr(arrival, "tells_acknowledgements", lambda sock: False)
+    monkeypatch.setattr(arrival, "unacknowledged_bytes", lambda sock: 0)
+    near, far = connected_sockets()
+    presence = ClientPresence(near)
+    far.shutdown(socket.SHUT_WR)
+    if closes:
+        start_thread(lambda: far.recv(1, socket.MSG_PEEK) and far.close())
+    assert presence.probe() == (Presence.GONE if closes else Presence.THERE)
+
+
 def test_without_a_reaction_or_a_byte_to_write_a_clients_presence_is_unknown(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
