--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -22,6 +22,8 @@
 from pumicepath.http1.parsing import RequestParser, ResponseParser
 from pumicepath.lab.loopback.scripted import read_message
 
+from .rig import stop_process
+
 TIMEOUT_S = 20
 
 
@@ -212,7 +214,10 @@
         self.start()
 
     def signal(self, number: int) -> None:
-        self.process.send_signal(number)
+        if number == signal.SIGSTOP:
+            stop_process(self.process)
+        else:
+            self.process.send_signal(number)
 
     def kill(self) -> None:
         self.process.send_signal(signal.SIGCONT)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import ctypes
+import os
+import signal
 import socket
 import struct
+import subprocess
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -113,6 +116,12 @@
     )
 
 
+def stop_process(process: subprocess.Popen) -> None:
+    """Stop a process, and wait until none of its threads runs; busy machines take milliseconds."""
+    process.send_signal(signal.SIGSTOP)
+    os.waitid(os.P_PID, process.pid, os.WSTOPPED)
+
+
 def waited_for_core_s(pid: int) -> float:
     """Return how long this thread and those of a process were ready to run and had no core, in seconds."""
     tasks = [Path(f"/proc/self/task/{threading.get_native_id()}"), *Path(f"/proc/{pid}/task").iterdir()]
