Refuse a change where the whole list was asked for

After SIGHUP has moved discovery the whole list is asked for. An answer with changes was applied to the old discovery's list, and what it did not name stayed as it was; a server that drains by the new list would have got work for as long as it is not named.

Cause: check_update compared versions, of which there are none after a move, and not what kind of answer was due. Relays' answers were compared already. Such an answer is a failed call now.

The test fails without the change (no error was raised; one run, interpreted) and passes with it.

--- a/pumicepath/discovery/watch.py
+++ b/pumicepath/discovery/watch.py
@@ -220,8 +220,11 @@
 
         An older list has servers ready that drain by now. A whole list with an older version is accepted
         after several in a row, since discovery may have lost its versions. One without any server is valid:
-        what a whole list doesn't name is gone, and nothing may be sent there.
+        what a whole list doesn't name is gone, and nothing may be sent there.  Where the whole list was
+        requested, a change is no answer: the list held may be another discovery's.
         """
+        if self.version < 0 and not update.whole:
+            raise BadList("a change where the whole list is due")
         if update.version >= self.version:
             self.older_answers = 0
             return
--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -16,6 +16,7 @@
 from pumicepath.discovery import watch as watching
 from pumicepath.discovery.server_list import BadList, ServerList, parse_address
 from pumicepath.discovery.watch import Watch
+from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import Deployment, ScriptedServer, http_response
 from pumicepath.sidecar.watching import Watcher
 
@@ -270,3 +271,14 @@
     assert (
         response is not None and response.status == 503 and deployment.transcript == ["client: 503 deferred"]
     )
+
+
+# Guards against changes taken for a whole list: what they do not name would stay as an old list has it.
+def test_a_change_is_refused_where_a_whole_list_is_due() -> None:
+    watch = Watch(ServerList(["a"], lambda born: 1), "d", 7, 100_000)
+    watch.switch_to("other")
+    parser = ResponseParser()
+    parser.feed(list_response(9))
+    with pytest.raises(BadList, match="whole"):
+        watch.handle_response(parser.next())
+    assert watch.version == -1
