Accept clients while a start waits for its first list, and refuse them at once

What they wrote meanwhile was taken by the kernel and sat unread: with a silent discovery a request with 0.4 s to live was answered after 2.04 s, 503. In a hot restart whose old process was killed meanwhile nobody accepted. Calls of operators, SIGHUP and SIGTERM waited as well.

Now a class of its own, FirstList, keeps the balancer from choosing servers until the wait is over, so that requests are refused at once and nothing is sent, and Startup takes the last steps of a start in a thread. /up and the operators' /healthcheck say no meanwhile, also until a new process has taken over; the lab asks /healthcheck before it ends the old process, where it took an answer to /peers for the takeover. Log and metrics say what is waited for and since when.

--- a/pumicepath/balancer.py
+++ b/pumicepath/balancer.py
@@ -531,6 +531,7 @@
         self.listed_starts: list[int] = []  # as listed, not adjusted to this clock
         self.salts: list[int] = []
         self.ready: list[int] = []
+        self.list_is_usable = True  # False: nothing is sent, as the list may be too old for that
         self.candidates: dict[Placement, Candidates] = {}
         self.out_of_service: dict[int, int] = {}  # by id: when an operator took it out
         self.drained_starts: dict[int, int] = {}  # by id: the start that was listed as draining
@@ -690,12 +691,19 @@
             )
         return self.weight_factors[index]
 
+    def set_list_usable(self, usable: bool) -> None:
+        """Choose servers from the list or, while a new process waits for its first one, choose none."""
+        self.list_is_usable = usable
+        self.update_ready()
+
     def update_ready(self) -> None:
-        """Collect the servers that are listed as ready and not out of service."""
+        """Collect the servers that are listed as ready and not out of service; none of an unusable list."""
         self.ready = [
             index
             for index, state in enumerate(self.listed_states)
-            if state == ServerState.READY and self.ids[index] not in self.out_of_service
+            if self.list_is_usable
+            and state == ServerState.READY
+            and self.ids[index] not in self.out_of_service
         ]
         self.update_candidates()
 
--- a/pumicepath/lab/loopback/sidecars.py
+++ b/pumicepath/lab/loopback/sidecars.py
@@ -88,8 +88,8 @@
         await self.start_process()
         try:
             await asyncio.wait_for(self.ready.wait(), READY_TIMEOUT_S)
-            while await self.query_admin("/peers") is None:
-                await asyncio.sleep(0.01)  # its admin server answers once it has taken over
+            while not await self.serves_clients():
+                await asyncio.sleep(0.01)
         except TimeoutError:
             self.world.note(f"sidecar {self.number}: the new process did not start in time")
             return
@@ -280,6 +280,10 @@
         except ValueError:
             return None
 
+    async def serves_clients(self) -> bool:
+        """Returns whether the process says that it accepts clients, in a hot restart after the takeover."""
+        return (await self.call_admin("GET", "/healthcheck", 1.0)).startswith(b"HTTP/1.1 200")
+
     async def resign_duty(self, duty: str, timeout_s: float = 5.0) -> bool:
         """Makes the sidecar resign a duty; returns whether it held the duty."""
         data = await self.call_admin("PUT", f"/peers/duties/{quote(duty, safe='')}/resign", timeout_s)
--- a/pumicepath/sidecar/admin_server.py
+++ b/pumicepath/sidecar/admin_server.py
@@ -30,6 +30,7 @@
 MAX_BODY_BYTES = 4096
 DONE = answers.text_answer(200, "done")
 SERVING = answers.text_answer(200, "serving")
+NOT_YET_SERVING = answers.text_answer(503, "the process that is replaced serves")
 NO_SERVER = answers.text_answer(404, "no such server")
 NOT_HELD = answers.text_answer(404, "this sidecar does not hold that duty")
 NO_PEERS = answers.text_answer(404, "no peers in the configuration")
@@ -142,7 +143,9 @@
         dispatcher = self.dispatcher
         match parsed.call:
             case AdminCall.HEALTH_CHECK:
-                return SERVING
+                if dispatcher.first_list.is_awaited:
+                    return answers.AWAITING_LIST
+                return SERVING if self.clients.is_open else NOT_YET_SERVING
             case AdminCall.STATS:
                 return answers.text_answer(200, self.metrics().rstrip("\n"))
             case AdminCall.PEERS:
@@ -180,6 +183,7 @@
                 "cluster_unhealthy": avoided,
                 "conf_loaded": dispatcher.config_loads,
                 "conf_invalid": dispatcher.config_failures,
+                "list_awaited_ms": dispatcher.first_list.waited_us() // 1000,
                 **dispatcher.memory.metrics(),
                 **(self.peers.metrics() if self.peers is not None else {}),
             },
--- a/pumicepath/sidecar/answers.py
+++ b/pumicepath/sidecar/answers.py
@@ -23,6 +23,7 @@
 FAILED = text_answer(502, "forfeited")
 READY = text_answer(200, "ready")
 NOT_READY = text_answer(503, "no server known that may be used")
+AWAITING_LIST = text_answer(503, "waiting for the list of servers")
 OUT_OF_SERVICE = text_answer(503, "clients are sent away")
 
 
--- a/pumicepath/sidecar/client.py
+++ b/pumicepath/sidecar/client.py
@@ -393,8 +393,7 @@
             if dispatcher.closes_connections():
                 self.answer(answers.OUT_OF_SERVICE, False)
             else:
-                ready = answers.READY if dispatcher.balancer.ready else answers.NOT_READY
-                self.answer(ready, not self.is_in_the_way())
+                self.answer(dispatcher.readiness(), not self.is_in_the_way())
             return None
         config, class_states = dispatcher.active_config
         name = request.header(CLASS_HEADER)
--- a/pumicepath/sidecar/clients.py
+++ b/pumicepath/sidecar/clients.py
@@ -83,6 +83,7 @@
         self.accept_enabled.set()
         self.listener = listener or create_listener(config)
         arrival.enable_timestamps(self.listener)  # inherited by accepted connections, from the first byte on
+        self.is_open = False  # whether this process has begun to accept
         self.stopped = False
         # During a hot restart both processes accept from the same queue, and each must notice when it is no
         # longer to accept.  They share the socket's non-blocking flag, so it can't be changed instead.
--- a/pumicepath/sidecar/decision_log.py
+++ b/pumicepath/sidecar/decision_log.py
@@ -53,6 +53,7 @@
     NO_ROOM = "no_room"  # more connections than the limits allow
     MEMORY = "memory"
     ID_UNANSWERED = "id_unanswered"  # another process of a hot restart did not tell whether its id is in use
+    NO_LIST = "no_list"  # a new process has no current list of servers yet
     NO_SERVER = "no_server"  # none may be used now, or load is shed
 
 
--- a/pumicepath/sidecar/dispatch.py
+++ b/pumicepath/sidecar/dispatch.py
@@ -25,6 +25,7 @@
 from .decision_log import Decision, DecisionLog, RefusalReason
 from .delay_monitor import DelayMonitor
 from .exchange import Exchange, Hop, UploadDeadline
+from .first_list import FirstList
 from .id_grants import Grant, IdGrants
 from .id_registry import IdRegistry
 from .log import Log
@@ -76,6 +77,7 @@
         self.streaming: set[int] = set()  # exchanges whose answer is being streamed, by number
         self.ids = IdRegistry(self.run_locked, self.is_open, lambda: self.max_deadline)
         self.balancer = Balancer(config.settings, config.seed, self)
+        self.first_list = FirstList(self)
         # Replaced as a whole: a thread reads it once per request and uses that one until the answer.
         self.active_config: ActiveConfig = (config, self.balancer.class_states)
         self.max_deadline = max(each.deadline for each in config.settings.request_classes)
@@ -401,6 +403,12 @@
         """Whether the exchange with a number is open or its answer is being streamed; needs the lock."""
         return number in self.exchanges or number in self.streaming
 
+    def readiness(self) -> answers.Answer:
+        """Return the answer to whoever asks whether this process serves."""
+        if self.first_list.is_awaited:
+            return answers.AWAITING_LIST
+        return answers.READY if self.balancer.ready else answers.NOT_READY
+
     def closes_connections(self) -> bool:
         """Whether every response closes its connection, because this sidecar drains or is out of service."""
         return self.draining or self.out_of_service
@@ -510,7 +518,8 @@
         if exchange.hops:
             self.note_attempt(Decision.REFUSED, exchange.hops[-1].outcome, exchange, exchange.hops[-1].server)
         else:
-            self.decisions.note(Decision.REFUSED, RefusalReason.NO_SERVER, exchange.trace_id)
+            reason = RefusalReason.NO_LIST if self.first_list.is_awaited else RefusalReason.NO_SERVER
+            self.decisions.note(Decision.REFUSED, reason, exchange.trace_id)
         self.answer(exchange, answers.rejected(retry_in))
 
     def note_attempt(self, what: Decision, outcome: Outcome | None, exchange: Exchange, server: int) -> None:
--- a/pumicepath/sidecar/following.py
+++ b/pumicepath/sidecar/following.py
@@ -9,8 +9,7 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
-from ..discovery.server_list import Address, BadList, parse_address
-from ..http1.messages import MalformedMessageError
+from ..discovery.server_list import Address, parse_address
 from . import clock
 from .watching import CONNECT_TIMEOUT_S, new_socket
 
@@ -44,16 +43,11 @@
         would connect to the other relays at once.
         """
         watcher, relay_selector = self.watcher, self.relay_selector
-        watcher.failures += 1
         self.last_error = f"{type(error).__name__}: {error}"
-        expected = isinstance(error, (OSError, MalformedMessageError, BadList))
-        if watcher.failures == 1 or not expected:
-            watcher.dispatcher.events.event(
-                "watch_failed" if expected else "fault", text=self.last_error, relay=relay_selector.current
-            )
+        watcher.note_failure(error, relay=relay_selector.current)
         wait_us = relay_selector.call_failed(clock.now(), watcher.connecting)
         if watcher.failures > len(relay_selector.order):
-            watcher.first_call_done.set()
+            watcher.note_list()
         watcher.skip_wait.wait(wait_us / 1e6)
         watcher.call_requested.set()
 
--- a/pumicepath/sidecar/handover.py
+++ b/pumicepath/sidecar/handover.py
@@ -27,6 +27,7 @@
     have the servers that an operator has taken out, or put back, each with the time since when, in
     microseconds of the sidecar's clock. `drained_by_operator`: clients are to be sent away. `process` is the
     old process's name, or empty for an older release, and `ids_in_use` what it and others have in use.
+    `list_due_at`: until when the old process waits for its own first list, None if it uses `known_list`.
     """
 
     channel: Channel
@@ -37,6 +38,7 @@
     drained_by_operator: bool
     ids_in_use: list[IdUpdate]
     process: str
+    list_due_at: int | None = None
 
 
 def encode_times(times: dict[int, int]) -> list[list[int]]:
@@ -98,6 +100,7 @@
         sock.settimeout(None)
         if "wall_offset" in answer:
             clock.wall.inherit(int(answer["wall_offset"]))
+        list_due = answer.get("list_due")
         return Handover(
             channel,
             listener,
@@ -107,6 +110,7 @@
             bool(answer["emptied"]),
             decode_in_use(answer),
             str(answer.get("process", "")),
+            clock.from_monotonic(int(list_due)) if list_due is not None else None,
         )
     except (OSError, ChannelError, ValueError, TypeError, KeyError, AttributeError):
         for each in descriptors:
--- a/pumicepath/sidecar/hot_restart.py
+++ b/pumicepath/sidecar/hot_restart.py
@@ -90,6 +90,7 @@
         self.shares_list = False
         self.superseded = False  # whether a new process accepts clients in this one's place
         self.has_taken_over = threading.Event()
+        self.old_process_ended = threading.Event()  # of the one that this process is to replace
 
     def follow(self, handover: Handover) -> None:
         """Apply what the old process has handed over, and whatever it tells from now on."""
@@ -193,6 +194,7 @@
             self.log_fault(error)
         finally:
             if not link.to_newer:
+                self.old_process_ended.set()
                 self.has_taken_over.wait()
             self.links.pop(channel, None)
             channel.close()
@@ -310,6 +312,8 @@
             self.links[channel] = link
             self.start_sharing()
             out_of_service, back_in_service = dispatcher.operator_state()
+            # Looked at before the list, which may arrive meanwhile.
+            waits_for_list = dispatcher.first_list.is_awaited
             answer = {
                 **encode_in_use(dispatcher.ids.in_use(), self.process),
                 "process": self.process,
@@ -320,6 +324,8 @@
                 "returned": encode_times(back_in_service),
                 "wall_offset": clock.wall.monotonic_offset(),
             }
+            if waits_for_list:
+                answer["list_due"] = clock.to_monotonic(dispatcher.first_list.ends_at)
             same_address = message.get("listen") == self.listen
             channel.send(answer, (self.clients.listener.fileno(),) if same_address else ())
         return link
--- a/pumicepath/sidecar/running.py
+++ b/pumicepath/sidecar/running.py
@@ -25,10 +25,12 @@
 from .clients import Clients
 from .config import Config, ConfigError
 from .dispatch import Dispatcher
+from .first_list import FIRST_LIST_TIMEOUT_US
 from .handover import Handover, create_process_name, request_handover
 from .hot_restart import HotRestart
 from .log import Log
 from .servers import start_thread
+from .startup import Startup
 from .watching import Watcher
 
 if TYPE_CHECKING:
@@ -49,8 +51,6 @@
 ACCEPT_AFTER_SIGTERM_S = 0.5
 # Keys of the configuration file that are read only at the start.
 RESTART_ONLY_KEYS = ("name", "listen", "limits", "admin", "peers")
-# With pushed lists everything on discovery's list binds at once: clients wait so long for the first list.
-FIRST_LIST_TIMEOUT_S = 2.0
 # Past the longest deadline: requests that arrived late are answered by then.
 LATE_ANSWER_GRACE_US = 400_000
 # Past the longest deadline: whatever is left ends, 0.1 s before the process is killed.
@@ -62,6 +62,7 @@
 
     Raises ConfigError if an address cannot be listened on.
     """
+    began_at = clock.now()
     signals = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
     signal.pthread_sigmask(signal.SIG_BLOCK, signals)
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
@@ -118,12 +119,13 @@
         dispatcher.inherit_operator_state(handover.out_of_service, handover.back_in_service)
         dispatcher.out_of_service = handover.drained_by_operator
         hot_restart.follow(handover)
+    first_list_ends_at = wait_for_list_until(began_at, handover)
+    if config.pushed and first_list_ends_at is not None:
+        watcher.first_list = dispatcher.first_list
+        dispatcher.first_list.begin(began_at, first_list_ends_at)
     dispatcher.update_servers(ListKind.CACHED, known)
     if config.pushed:
         watcher.request_list()
-        # From here on this sidecar counts as notified of whatever discovery has, while the file's list is
-        # old: without waiting, requests could go to servers that are draining.
-        watcher.first_call_done.wait(FIRST_LIST_TIMEOUT_S)
     dispatcher.run_locked(dispatcher.pool.on_timer)
     dispatcher.run_locked(clients.on_timer)
     dispatcher.run_locked(dispatcher.delay_monitor.on_timer)
@@ -133,33 +135,49 @@
     dispatcher.measure_memory()
     # Reference counting frees what a submission used when it ends; little is left to collect.
     gc.set_threshold(10_000)
-    host, port = clients.listener.getsockname()[:2]
     if admin_server is not None:
         # Before `started` is logged: whoever waits for that event may start a replacement at once.
         hot_restart.open_socket()
-    log.event(
-        "started",
-        listen=f"{host}:{port}",
-        operators=admin_server.address if admin_server else "",
-        servers=len(known.entries),
-        from_clients=config.max_client_connections,
-        to_servers=config.max_server_connections,
-        checks="asserted" if __debug__ else "counted",
-        form=compiled.FORM,
-        **({"peers": peers.listen_address} if peers is not None else {}),
-        **({"relays": len(config.relays)} if config.relays else {}),
-    )
-    if handover is not None:
-        hot_restart.take_over(handover.channel)
-    start_thread(clients.overflow.run)
-    start_thread(clients.run)
-    if admin_server is not None:
         start_thread(admin_server.run)
+    fields = started_fields(config, len(known.entries), clients, admin_server, peers)
+    start_thread(Startup(dispatcher, clients, watcher, hot_restart, handover, fields).run)
     while signal.sigwait(signals) == signal.SIGHUP:
         config = reload(config, path, dispatcher, watcher, log, peers)
     drain(dispatcher, clients, log, peers)
 
 
+def wait_for_list_until(began_at: int, handover: Handover | None) -> int | None:
+    """Return until when a new process waits for its first list; None if it need not.
+
+    The list of the process that it replaces is in use there, unless that one waits itself.
+    """
+    if handover is None:
+        return began_at + FIRST_LIST_TIMEOUT_US
+    return handover.list_due_at
+
+
+def started_fields(
+    config: Config,
+    known_servers: int,
+    clients: Clients,
+    admin_server: AdminServer | None,
+    peers: Peers | None,
+) -> dict[str, Any]:
+    """Return what `started` says of the configuration and of the list to start with."""
+    host, port = clients.listener.getsockname()[:2]
+    return {
+        "listen": f"{host}:{port}",
+        "operators": admin_server.address if admin_server else "",
+        "servers": known_servers,
+        "from_clients": config.max_client_connections,
+        "to_servers": config.max_server_connections,
+        "checks": "asserted" if __debug__ else "counted",
+        "form": compiled.FORM,
+        **({"peers": peers.listen_address} if peers is not None else {}),
+        **({"relays": len(config.relays)} if config.relays else {}),
+    }
+
+
 def create_peers(config: Config, log: Log, retry_bind: bool) -> Peers | None:
     """Create the exchange with other sidecars; its module is not imported if the file has no peers.
 
--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -15,6 +15,7 @@
 from ..interface import ListKind
 from . import clock
 from .dispatch import Dispatcher
+from .first_list import FirstList
 
 if TYPE_CHECKING:
     from ..distribution.relay_selector import RelaySelector
@@ -49,7 +50,8 @@
         self.skip_wait = threading.Event()  # set: connect to the next relay without waiting
         self.discovery = discovery
         self.pushed = pushed  # whatever discovery has counts as received, whether or not it has been read
-        self.first_call_done = threading.Event()  # whether it succeeded or not
+        self.first_list: FirstList | None = None  # what a new process waits for
+        self.list_received = threading.Event()  # at least one list, from wherever it is watched
         self.failures = 0  # consecutive
         self.connect_timeout = CONNECT_TIMEOUT_S
         # When the current call's time began: with its connect, or at the end of the wait that it asked for.
@@ -127,9 +129,27 @@
                 update = self.watch.adopt(known)
                 if update is not None:
                     self.dispatcher.update_servers(ListKind.FULL, update)
+                    self.note_list()
+
+    def note_list(self) -> None:
+        """Note that the first call is over, after which servers may be chosen."""
+        self.list_received.set()
+        if self.first_list is not None:
+            self.first_list.received()
+
+    def note_failure(self, error: Exception, **fields: str) -> bool:
+        """Count a failed call and log the first in a row; returns whether the error is one of a call."""
+        self.failures += 1
+        text = f"{type(error).__name__}: {error}"
+        expected = isinstance(error, (OSError, MalformedMessageError, BadList))
+        if self.failures == 1 or not expected:
+            self.dispatcher.events.event("watch_failed" if expected else "fault", text=text, **fields)
+        if self.first_list is not None and self.first_list.is_awaited:
+            self.first_list.call_failed(text)
+        return expected
 
     def handle_failure(self, error: Exception) -> None:
-        """Call again: at once, after `RETRY_INTERVAL_S`, or when the balancer requests it."""
+        """Call again: at once, after a pause, or when the balancer requests it."""
         self.close()
         self.watch.ask_immediately = True
         if self.relay_watch is not None and not self.moved:
@@ -142,18 +162,13 @@
                 sleep(RETRY_INTERVAL_S)
             self.call_requested.set()
             return
-        self.failures += 1
-        expected = isinstance(error, (OSError, MalformedMessageError, BadList))
-        if self.failures == 1 or not expected:
-            self.dispatcher.events.event(
-                "watch_failed" if expected else "fault", text=f"{type(error).__name__}: {error}"
-            )
+        expected = self.note_failure(error)
         if self.failures == 1 and expected and not isinstance(error, Overtaxed):
             # A watch that fell silent or was reset may have missed changes, which count as received soon:
             # called again at once.
             self.call_requested.set()
             return
-        self.first_call_done.set()
+        self.note_list()
         if self.pushed:
             # Discovery may return at any moment, and from then on all that it has counts as received.
             sleep(RETRY_INTERVAL_S)
@@ -179,8 +194,8 @@
             if update.entries:
                 self.on_list_changed()
             first = False
-            self.first_call_done.set()
             relay_watch = self.relay_watch
+            self.note_list()
             if relay_watch is not None:
                 relay_watch.log_changes()
             if self.failures > 1:
--- /dev/null
+++ b/tests/test_first_list.py
@@ -0,0 +1,209 @@
+"""A new process that waits for its first list answers its clients meanwhile."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import threading
+import time
+from pathlib import Path
+
+from pumicepath.http1.messages import Response
+from pumicepath.http1.parsing import ResponseParser
+from pumicepath.lab.loopback.scripted import Deployment, read_message
+from pumicepath.sidecar import clock
+from pumicepath.sidecar.first_list import (
+    FIRST_LIST_TIMEOUT_US,
+    ListSource,
+)
+
+from .discovery_rig import TroubledDiscovery
+from .following_rig import AnsweringServer
+from .rig import Rig, wait_until
+
+READY_WITHIN_S = 10.0  # nine in ten restarted processes, by the operators' page
+MODES = ("pushed", "on_request")
+REQUESTS = 24  # with a key each, so that every server that may be used gets some
+# Once a process may answer at all, a refusal needs no more than a moment; far below all deadlines.
+AT_ONCE_S = 1.0
+
+
+class StartingDeployment(Deployment):
+    """A sidecar that starts with an old list, in which the first of two servers is ready."""
+
+    def __init__(self, folder: Path, mode: str, *troubles: str, **overrides: object) -> None:
+        super().__init__(folder, 0, **overrides)
+        self.servers = [AnsweringServer(f"s-{at}", self.script, self.transcript) for at in range(2)]
+        old = self.list_document(1, True, "active")
+        self.troubled = TroubledDiscovery(old, troubles)
+        self.configuration.update(known=old, discovery=self.troubled.address)
+        self.configuration["settings"]["membershipMode"] = mode
+        if "listen" not in overrides:
+            # An address of its own, so that nobody else gets the port before the process has it.
+            with socket.create_server((f"127.0.47.{1 + id(self) % 250}", 0)) as sock:
+                host, port = sock.getsockname()
+            self.configuration["listen"] = f"{host}:{port}"
+        self.write_configuration()
+        host, port = str(self.configuration["listen"]).split(":")
+        self.address = (host, int(port))
+
+    def changed_list(self, change: str) -> dict:
+        """Return the list of discovery after a change of the first server."""
+        document = self.list_document(2, True, "active")
+        first = document["hosts"][0]
+        if change == "leaves":
+            first["health"] = "leaving"
+        elif change == "has left":
+            document["whole"] = False
+            first["health"] = "left"
+        elif change == "is not named":
+            del document["hosts"][0]
+        elif change == "has moved":
+            first["dial"] = document["hosts"][1]["dial"]
+        return document
+
+    def ask(self, target: str = "/up") -> Response | None:
+        """Send one request without a class on a connection of its own."""
+        with socket.create_connection(self.address) as sock:
+            sock.sendall(f"GET {target} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".encode())
+            response: Response | None = read_message(sock, ResponseParser())
+            return response
+
+    def request(self, request_class: str) -> int:
+        """Send one request on a connection of its own; returns the status of its answer."""
+        with socket.create_connection(self.address) as sock:
+            self.send(request_class, sock=sock)
+            response = self.receive(sock, ResponseParser())
+            return response.status if response is not None else 0
+
+    def servers_used(self) -> set[str]:
+        """Return the servers that REQUESTS requests reach, all of which are served."""
+        del self.transcript[:]
+        for number in range(REQUESTS):
+            with socket.create_connection(self.address) as sock:
+                sock.sendall(
+                    f"GET / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: u{number}-{time.monotonic_ns()}\r\n"
+                    f"X-Qos: read\r\nX-Object: lot {number}\r\n\r\n".encode()
+                )
+                response = read_message(sock, ResponseParser())
+                assert response is not None and response.status == 200
+        return {line.partition(":")[0] for line in self.transcript if line.startswith("s-")}
+
+    def check_that_nothing_is_sent(self) -> None:
+        """Check that the process says no to whoever asks whether it serves, and refuses requests at once."""
+        up = self.ask()
+        assert up is not None and up.status == 503 and b"list" in up.body
+        for request_class in ("read", "once"):
+            began = time.monotonic()
+            assert self.request(request_class) == 503
+            assert time.monotonic() - began < AT_ONCE_S
+        assert not [line for line in self.transcript if line.startswith("s-")]
+
+    def end(self) -> None:
+        for process in self.logs:
+            process.kill()
+            process.wait()
+
+
+def test_an_ordinary_start_makes_one_call_and_does_not_wait(tmp_path: Path) -> None:
+    deployment = StartingDeployment(tmp_path, "pushed")
+    deployment.troubled.publish(deployment.changed_list("leaves"))
+    deployment.process = deployment.start_process()
+    try:
+        started = deployment.next_event("started")
+        assert started["list"] == "discovery"
+        assert [target for _, target in deployment.troubled.calls[:1]] == [
+            "/discovery/hosts?since=1&timeout_ms=1"
+        ]
+        assert not [
+            event for event in deployment.logs[deployment.process].all_events if "await" in event["event"]
+        ]
+        assert deployment.servers_used() == {"s-1"}
+    finally:
+        deployment.end()
+
+
+# Guards against a request that sits unread in the listener's queue for as long as a start waits.
+def test_a_request_written_before_the_process_is_ready_is_answered_in_its_time(tmp_path: Path) -> None:
+    deployment = StartingDeployment(tmp_path, "pushed", "silent")
+    deployment.process = deployment.start_process()
+    try:
+        sock = connect_early(deployment)
+        deployment.send("once", expires_in_ms=400, sock=sock)
+        sent_at = time.monotonic()
+        response = deployment.receive(sock, ResponseParser())
+        assert response is not None and response.status == 503
+        assert time.monotonic() - sent_at < AT_ONCE_S
+        assert deployment.logs[deployment.process].all_events == []  # nothing was waited for but the process
+    finally:
+        deployment.end()
+
+
+def connect_early(deployment: StartingDeployment) -> socket.socket:
+    """Connect as soon as the process listens."""
+    end = time.monotonic() + 20
+    while True:
+        try:
+            return socket.create_connection(deployment.address)
+        except ConnectionRefusedError:
+            assert time.monotonic() < end
+            time.sleep(0.001)
+
+
+def test_sigterm_during_the_wait_ends_the_process_as_at_any_other_time(tmp_path: Path) -> None:
+    deployment = StartingDeployment(tmp_path, "pushed", "silent")
+    deployment.process = deployment.start_process()
+    try:
+        deployment.next_event("list_awaited")
+        deployment.process.send_signal(signal.SIGTERM)
+        assert deployment.next_event("stopped")["taken"] == 0
+        assert deployment.process.wait(timeout=20) == 0
+    finally:
+        deployment.end()
+
+
+def replaceable(folder: Path, *troubles: str) -> StartingDeployment:
+    """Return a deployment whose process can be replaced."""
+    deployment = StartingDeployment(folder, "pushed", *troubles, admin_addr="127.0.0.1:0")
+    deployment.environment = {"TMPDIR": str(folder)}
+    return deployment
+
+
+# Guards against connections that nobody accepts: the old process has ended, the new one waits for its list.
+def test_a_new_process_accepts_clients_once_the_old_one_has_died(tmp_path: Path) -> None:
+    deployment = replaceable(tmp_path)
+    deployment.troubled.publish(deployment.changed_list("leaves"))
+    deployment.process = old = deployment.start_process()
+    try:
+        deployment.next_event("started")
+        wait_until(lambda: len(deployment.troubled.calls) == 2)
+        deployment.troubled.set_troubles("silent")
+        deployment.process = deployment.start_process()
+        # The old process's first call and its watch, which goes on, and the new one's first call.
+        wait_until(lambda: len(deployment.troubled.calls) >= 3)
+        old.kill()
+        old.wait()
+        sent_at = time.monotonic()
+        assert deployment.request("read") == 200
+        assert time.monotonic() - sent_at < AT_ONCE_S
+        assert deployment.servers_used() == {"s-1"}
+    finally:
+        deployment.end()
+
+
+def test_the_wait_ends_once_at_its_end_or_with_a_list(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    first_list = rig.dispatcher.first_list
+    assert not first_list.is_awaited and rig.dispatcher.balancer.ready
+    began_at = clock.now()  # the timer thread is far from the end of the time
+    first_list.begin(began_at, began_at + FIRST_LIST_TIMEOUT_US)
+    rig.dispatcher.run_locked(lambda now: first_list.on_timer(began_at + FIRST_LIST_TIMEOUT_US - 1))
+    assert first_list.is_awaited and not rig.dispatcher.balancer.ready
+    rig.dispatcher.run_locked(lambda now: first_list.on_timer(began_at + FIRST_LIST_TIMEOUT_US))
+    assert rig.dispatcher.balancer.ready and first_list.source == ListSource.FILE
+    first_list.received()
+    assert first_list.source == ListSource.FILE and first_list.waited_us() == FIRST_LIST_TIMEOUT_US
+    first_list.begin(began_at, began_at + FIRST_LIST_TIMEOUT_US)
+    threading.Thread(target=first_list.received).start()
+    assert first_list.usable.wait(20)
+    assert rig.dispatcher.balancer.ready and first_list.source == ListSource.DISCOVERY
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -136,6 +136,7 @@
         deployment.send("gold")
         deployment.receive()
         metrics = deployment.metrics()
+        assert 0 <= metrics.pop("edge_gw.list_awaited_ms") < 10_000
         # How much memory is held depends on the machine; the names must be there.
         memory = {name: value for name, value in metrics.items() if ".memory_" in name}
         assert memory["edge_gw.memory_held"] == 0 < memory["edge_gw.memory_limit"] and len(memory) == 10
