Take no list for the first one from a relay that is in touch with no region

Cause: any answer ended the wait, though a relay's answer says of each region whether the relay is in touch with it. At least one has to be, or the wait goes on to its end. Not all: a region may be cut off for hours, and its servers stay in use by what was received last.

The test fails without the change (one run: the process starts at once) and passes with it.

--- a/pumicepath/sidecar/following.py
+++ b/pumicepath/sidecar/following.py
@@ -49,6 +49,10 @@
         watcher.skip_wait.wait(wait_us / 1e6)
         watcher.call_requested.set()
 
+    def is_in_touch(self) -> bool:
+        """Whether the relay is in touch with a region, without which its list may be of any age."""
+        return self.watcher.watch.region_counts()[0] > 0
+
     def log_changes(self) -> None:
         """Log what an answer changes: the relay followed, and regions that are now stale or no longer so."""
         watcher, relay_selector = self.watcher, self.relay_selector
--- a/pumicepath/sidecar/watching.py
+++ b/pumicepath/sidecar/watching.py
@@ -199,7 +199,8 @@
                 self.on_list_changed()
             first = False
             relay_watch = self.relay_watch
-            self.note_list()
+            if relay_watch is None or relay_watch.is_in_touch():
+                self.note_list()
             if relay_watch is not None:
                 relay_watch.log_changes()
             if self.failures > 1:
--- a/tests/test_first_list.py
+++ b/tests/test_first_list.py
@@ -349,12 +349,16 @@
         deployment.end()
 
 
-@pytest.mark.parametrize("state", ("busy", "silent"))
+# Guards against a relay that is in touch with no region, and whose list may thus be of any age.
+@pytest.mark.parametrize("state", ("busy", "silent", "out of touch"))
 def test_while_no_relay_has_a_list_a_new_process_sends_nothing(state: str, tmp_path: Path) -> None:
     deployment = RelayDeployment(tmp_path, 1, max_wait=0.0)
     (relay,) = deployment.relays
-    relay.publish("eu", 6, True, *deployment.lines_with_health("leaving", "active"))
-    relay.set_state(state)
+    is_live = state != "out of touch"
+    healths = ("leaving", "active") if is_live else ("active", "active")
+    relay.publish("eu", 6, is_live, *deployment.lines_with_health(*healths))
+    if is_live:
+        relay.set_state(state)
     with socket.create_server(("127.0.49.1", 0)) as sock:
         deployment.address = sock.getsockname()
     deployment.write_config(listen=f"{deployment.address[0]}:{deployment.address[1]}")
