Lab: calls of discovery fail in several ways; restarted processes may have an old file

`list-down` takes the ways in `fails`, in turn, and `[list] old_file` leaves the list of the run's beginning in the file. The rule checker counts what discovery has at a start as told to the process, as before.

A connection of a process that has died took the updates of the next one, whose first call was then answered with no changes, at once: the stand-in ends the older connection now.

--- a/pumicepath/lab/loopback/discovery.py
+++ b/pumicepath/lab/loopback/discovery.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import re
+import socket
+import struct
 import time
 from typing import Any
 
@@ -14,6 +16,8 @@
 from .host import LoopbackHost
 
 HEALTH_BY_STATE = {ServerState.READY: "active", ServerState.DRAINING: "leaving", ServerState.GONE: "left"}
+LATE_ERROR_S = 1.0
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # struct linger
 WATCH_QUERY = re.compile(rb"[?&]since=(\d+)&timeout_ms=(\d+)")
 
 
@@ -28,6 +32,7 @@
         self.pending_updates: list[tuple[bool, list[ServerEntry]]] = []
         self.fails_next = False
         self.update_ready = asyncio.Event()
+        self.connection: asyncio.Task[None] | None = None  # the latest, which gets all updates
         self.start_unix_ms = time.time() * 1000 - world.timeline.now / 1000
         self.listener: asyncio.Server
         self.address = ""
@@ -50,6 +55,9 @@
         self.update_ready.set()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.connection is not None:
+            self.connection.cancel()  # of a process that has died: it would take this one's updates
+        self.connection = asyncio.current_task()
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -64,7 +72,12 @@
                     self.update_ready.clear()
                     self.world.registry.subscribe(self.number)
                     wait_s = max(wait_s, 5.0)
-                writer.write(await self.next_response(wait_s))
+                response = await self.next_response(wait_s)
+                if response is None:
+                    if not await self.fail(reader, writer, next(self.world.registry.failures)):
+                        break
+                    continue
+                writer.write(response)
                 await writer.drain()
         except (
             asyncio.IncompleteReadError,
@@ -76,8 +89,25 @@
         finally:
             writer.close()
 
-    async def next_response(self, wait_s: float) -> bytes:
-        """Returns the next response: an update, an error 503, or an empty update once `wait_s` is over."""
+    async def fail(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, how: str) -> bool:
+        """Makes a call fail, in a way of `spec.ListFailure`; returns whether the connection lasts."""
+        if how == "late error":
+            await asyncio.sleep(LATE_ERROR_S)
+        if how == "silent":
+            await reader.read()  # until the caller gives up
+        if how == "reset":
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        if how == "cut":
+            writer.write(self.list_response(False, [])[:-1])
+        if how == "garbled":
+            writer.write(writing.response(200, [], b"{", True))
+        if how in ("error", "late error"):
+            writer.write(writing.response(503, [], b"down", True))
+        await writer.drain()
+        return how in ("error", "late error", "garbled")
+
+    async def next_response(self, wait_s: float) -> bytes | None:
+        """Returns the next response, an empty one once `wait_s` is over, or None if the call is to fail."""
         try:
             await asyncio.wait_for(self.update_ready.wait(), wait_s)
         except TimeoutError:
@@ -85,7 +115,7 @@
         if self.fails_next:
             self.fails_next = False
             self.update_ready.clear()
-            return writing.response(503, [], b"down", True)
+            return None
         whole, entries = self.pending_updates.pop(0) if self.pending_updates else (False, [])
         if not self.pending_updates:
             self.update_ready.clear()
--- a/pumicepath/lab/loopback/sidecars.py
+++ b/pumicepath/lab/loopback/sidecars.py
@@ -16,6 +16,7 @@
 import orjson
 
 from ...http1 import writing
+from ...interface import ServerEntry
 from ..fault_kinds import KINDS
 from ..model.registry import REPLACEMENT_OFFSET
 from ..model.world import SidecarInstance
@@ -52,6 +53,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.discovery = DiscoveryServer(world, number)
         self.ready = asyncio.Event()
+        self.first_list: list[ServerEntry] = []  # in the file of its first process
         self.open_breakers: set[str] = set()  # ids of servers, as read from its log
         self.name = f"sidecar-{number}"
         self.stopped = False
@@ -162,10 +164,16 @@
             "discovery": self.discovery.address,
             "seed": f"{world.seed * 1_000_003 + self.number * 97 + self.start_count:x}",
             "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024},
-            "known": self.discovery.list_document(True, world.registry.full_list()),
+            "known": self.known_list(),
             "settings": sidecar_settings(world.plan, self.number, self.zone),
         }
 
+    def known_list(self) -> dict[str, Any]:
+        """Returns the list in the file: the one in force, or that of the first start if the plan says so."""
+        if not self.first_list or not self.world.plan.list.old_file:
+            self.first_list = self.world.registry.full_list()
+        return self.discovery.list_document(True, self.first_list)
+
     async def read_log(self, process: asyncio.subprocess.Process) -> None:
         """Follows the log of a process until it ends; the sidecar is up once the log has its address."""
         assert process.stdout is not None
--- a/pumicepath/lab/model/registry.py
+++ b/pumicepath/lab/model/registry.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass
+from itertools import cycle, repeat
 from typing import Protocol
 
 from ...interface import ListKind, ServerEntry, ServerState
 from .timeline import Timeline, random_source
 
+DEFAULT_FAILURE = "error"  # of a call for the list: it is answered 503
 REPLACEMENT_OFFSET = 1 << 20  # added to a sidecar's number for the new process during a hot restart
 
 
@@ -57,6 +59,7 @@
         self.state_overrides: dict[int, ServerState] = {}  # states published instead of the actual ones
         self.down = False
         self.disconnected: set[int] = set()  # sidecars that can't reach the list
+        self.failures: Iterator[str] = repeat(DEFAULT_FAILURE)  # how the next calls fail meanwhile
         self.subscriptions: dict[int, Subscription] = {}
 
     # -- the actual servers
@@ -180,8 +183,12 @@
         """Whether this sidecar can't reach the list."""
         return self.down or number in self.disconnected
 
-    def disconnect(self, numbers: Collection[int] = ()) -> None:
-        """Cut these sidecars, or all, off from the list; subscribers notice and are notified of a failure."""
+    def disconnect(self, numbers: Collection[int] = (), failures: Sequence[str] = (DEFAULT_FAILURE,)) -> None:
+        """Cut these sidecars, or all, off from the list; subscribers notice and are notified of a failure.
+
+        Calls fail in these ways in turn, where the host distinguishes them.
+        """
+        self.failures = cycle(failures)
         self.disconnected.update(numbers)
         self.down = self.down or not numbers
         for number, subscription in self.subscriptions.items():
--- a/pumicepath/lab/spec.py
+++ b/pumicepath/lab/spec.py
@@ -13,6 +13,9 @@
 PositiveFloat = Annotated[float, Field(gt=0.0)]
 NonNegativeFloat = Annotated[float, Field(ge=0.0)]
 Count = Annotated[int, Field(ge=1)]
+# How a call of discovery fails: answered 503, at once or after a second, the connection reset or ended, no
+# answer at all, an answer that is cut off, or one that is no list.
+ListFailure = Literal["error", "late error", "reset", "ended", "silent", "cut", "garbled"]
 
 
 class StrictModel(BaseModel):
@@ -123,6 +126,7 @@
     on_request: bool = True
     ask_every_s: PositiveFloat = 10.0
     grace_s: NonNegativeFloat = 0.5
+    old_file: bool = False  # whether restarted processes have the list of the run's beginning in their file
 
     @model_validator(mode="after")
     def check_order(self) -> ServerList:
@@ -142,6 +146,7 @@
     count: Count = 1
     hall: int = 0
     value: float = 0.0  # 0: the default of the kind
+    fails: Annotated[tuple[ListFailure, ...], Field(min_length=1)] = ("error",)  # calls of discovery, in turn
     sidecars: tuple[int, ...] = ()  # none: all or a random fraction, as the kind defines
     from_: tuple[int, ...] = ()  # of a one-way cut: sidecars whose messages are lost
     to: tuple[int, ...] = ()  # on the way to these
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -18,7 +18,7 @@
 from pumicepath.lab.loopback.discovery import DiscoveryServer
 from pumicepath.lab.loopback.world import InvalidRunError, LoopbackWorld
 from pumicepath.lab.model.clients import ClientSubmission
-from pumicepath.lab.spec import Fleet, Load, Plan, Sidecars
+from pumicepath.lab.spec import FaultSpec, Fleet, Load, Plan, ServerList, Sidecars
 
 from .helpers import check_trace, restore_sigint
 
@@ -212,6 +212,37 @@
     run_in_world(ONE_SIDECAR, tmp_path, work)
 
 
+# Guards against a lab that cannot see a process send by its file: all lists were current.
+@pytest.mark.parametrize("on_request", (False, True))
+def test_sidecars_killed_while_discovery_fails_send_nothing_to_servers_that_drain(
+    on_request: bool, tmp_path: Path
+) -> None:
+    plan = Plan(
+        lasts_s=9.0,
+        warm_s=1.0,
+        fleet=Fleet(servers=4),
+        sidecars=Sidecars(count=2),
+        load=Load(rate=60.0),
+        list=ServerList(on_request=on_request, old_file=True),
+        troubles=(
+            FaultSpec(kind="drain", at_s=1.0, for_s=20.0, value=15.0, servers=(0, 1)),
+            FaultSpec(
+                kind="list-down", at_s=2.0, for_s=4.0, fails=("error", "reset", "cut", "garbled", "ended")
+            ),
+            FaultSpec(kind="sidecars-killed", at_s=2.5, for_s=0.2, sidecars=(0, 1)),
+        ),
+    )
+
+    async def run() -> None:
+        world = LoopbackWorld(plan, 1, tmp_path)
+        await world.run()
+        assert all(sidecar.start_count == 2 for sidecar in world.sidecars)
+        assert world.rule_checker.passed(), world.rule_checker.first_violations
+        assert world.rule_checker.final_answers["succeeded"] > 60
+
+    asyncio.run(run())
+
+
 def run_demo(*arguments: str) -> subprocess.CompletedProcess[str]:
     """Runs `demo`, up to three times if the machine was too slow for a valid run."""
     for _ in range(3):
