Lab: end an interrupted run also if the interrupt comes while results are waited for

A dump of the threads of a run that hung: the pool's own thread waits for the lock of a future, and the main thread, in its exit, for that one. wait() takes the locks of all futures at each result, and a KeyboardInterrupt there leaves them taken. Finished futures are put in a queue now, and SIGINT is held back while a lock may be held.

--- a/pumicepath/lab/experiments/runner.py
+++ b/pumicepath/lab/experiments/runner.py
@@ -7,8 +7,10 @@
 import signal
 import time
 from collections.abc import Callable, Iterator
-from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
+from concurrent.futures import Future, ProcessPoolExecutor
+from contextlib import contextmanager
 from pathlib import Path
+from queue import SimpleQueue
 from typing import Any
 
 import orjson
@@ -48,6 +50,16 @@
     signal.signal(signal.SIGINT, signal.SIG_IGN)
 
 
+@contextmanager
+def interrupts_blocked() -> Iterator[None]:
+    """Hold SIGINT back from this thread until the end of the block."""
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGINT})
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
 def play_runs(runs: tuple[ExperimentRun, ...], workers: int) -> Iterator[dict[str, Any]]:
     """Yield results as runs finish.
 
@@ -58,12 +70,18 @@
         yield from map(play_run, runs)
         return
     pool = ProcessPoolExecutor(min(workers, len(runs)), initializer=ignore_interrupts)
+    finished: SimpleQueue[Future[dict[str, Any]]] = SimpleQueue()
     try:
-        pending: set[Future[dict[str, Any]]] = {pool.submit(play_run, run) for run in runs}
-        while pending:
-            done, pending = wait(pending, return_when=FIRST_COMPLETED)
-            for future in done:
-                yield future.result()
+        # An interrupt must not reach this thread while it holds the lock of a future, which the pool's own
+        # thread needs to end: what is waited for is a queue and not the futures.
+        with interrupts_blocked():
+            for run in runs:
+                pool.submit(play_run, run).add_done_callback(finished.put)
+        for _ in runs:
+            future = finished.get()
+            with interrupts_blocked():
+                result = future.result()
+            yield result
     finally:
         processes = list((pool._processes or {}).values())
         pool.shutdown(wait=False, cancel_futures=True)
