Tests: wait for the call after the list, now that discovery answers the call of a start

The scripted discovery answers the call of a start by itself now, so two calls had come before the list was applied, and the request that is to be refused reached the server, whose answer it took. Three calls are waited for; the checks are the same. The other tests that count calls were read: their scripts are not empty at the start, or they count from a later one.

--- a/tests/test_all_gone.py
+++ b/tests/test_all_gone.py
@@ -65,7 +65,7 @@
         deployment.send("once")
         assert deployment.servers[0].received_requests.acquire(timeout=20)
         deployment.discovery_script.put(list_response(deployment, 2))
-        wait_for_calls(deployment, 2)
+        wait_for_calls(deployment, 3)  # at the start, the watch that gets the list, and the next one
         with socket.create_connection(deployment.address) as other:
             deployment.send("read", sock=other)
             refused = deployment.receive(other, ResponseParser())
