Relay: read what arrived during a stop before followers are taken for idle

Followers saw: a relay stopped for more than 3 s closed their connections after SIGCONT and left the requests that had arrived meanwhile unanswered.

Change: an empty wait is followed by one that only looks.

--- a/pumicepath/relay/loop.py
+++ b/pumicepath/relay/loop.py
@@ -103,6 +103,9 @@
             now = now_us()
             at = max(now, min(self.next_timer(now), self.swept_at + SWEEP_INTERVAL_US))
             ready = self.selector.select((at - now) / 1e6)
+            if not ready:
+                # A wait that SIGSTOP interrupts returns nothing, whatever has arrived until SIGCONT.
+                ready = self.selector.select(0)
             now = now_us()
             self.counters["turns"] += 1
             self.counters["late"] += now > at + LATE_ITERATION_US
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -40,6 +40,8 @@
 
     def event(self, event: str, **figures: object) -> None: ...
 
+    def flush(self) -> None: ...
+
 
 class BlockingClients(Clients):
     """Client connections whose sockets block, as in production, although tests set a default time-out.
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -25,6 +25,7 @@
 from pumicepath.http1.parsing import ResponseParser
 from pumicepath.lab.loopback.scripted import read_message
 from pumicepath.relay import config, loop
+from pumicepath.relay.clock import now_us
 from pumicepath.relay.loop import REQUEST_TIMEOUT_US
 from pumicepath.relay.upstreams import DECODE_BATCH_LINES
 
@@ -296,6 +297,41 @@
     assert set(follower.lines) == {"b", "c", "n"} and follower.regions["eu"]["seq"] == 43
 
 
+def test_a_request_that_arrived_while_the_relay_was_stalled_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A wait that SIGSTOP interrupts ends without a result, whatever has arrived until SIGCONT.
+
+    The relay must not take followers for idle whose requests it has not read.
+    """
+    settings = config.parse_config(
+        {**VALID_CONFIG, "listen": "127.0.0.1:0", "sources": {"eu": "127.0.0.1:1"}}
+    )
+    relay = loop.Relay(settings, NullLog(), 0, random.Random(1).random)  # type: ignore[arg-type]
+    stalled_us = 0
+    monkeypatch.setattr(loop, "now_us", lambda: now_us() + stalled_us)
+    wait = relay.selector.select
+
+    def interrupted_wait(timeout: float | None = None) -> list[Any]:
+        nonlocal stalled_us
+        if stalled_us:
+            relay.stop = True
+            return wait(0)
+        if not relay.followers:
+            return wait(timeout)
+        client.sendall(writing.request("GET", "/discovery/hosts", [("Host", "relay")]))
+        stalled_us = REQUEST_TIMEOUT_US + 1
+        return []
+
+    monkeypatch.setattr(relay.selector, "select", interrupted_wait)
+    with socket.create_connection(relay.listener.getsockname(), TIMEOUT_S) as client:
+        relay.run()
+        assert relay.counters["idle"] == 0
+        assert client.recv(99).startswith(b"HTTP/1.1 ")
+    for sock in (relay.listener, relay.selector):
+        sock.close()
+
+
 def test_a_region_is_out_of_touch_after_2_4_s_even_if_the_pending_request_has_longer() -> None:
     settings = config.parse_config(
         {**VALID_CONFIG, "listen": "127.0.0.1:0", "sources": {"eu": "127.0.0.1:1"}}
