--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -146,6 +146,14 @@
                 sock.sendall(http_response(200, digest(request.body)))
 
 
+def read_head(sock: socket.socket) -> bytes:
+    """Read a head, and nothing of what follows it."""
+    head = b""
+    while not head.endswith(b"\r\n\r\n") and (byte := sock.recv(1)):
+        head += byte
+    return head
+
+
 def test_large_bodies_are_streamed_in_all_framings_and_the_connection_is_kept(tmp_path: Path) -> None:
     deployment = deployment_of(tmp_path, BodyEcho("r", queue.SimpleQueue(), []))
     headers = [("Host", "api"), ("X-Qos", "once"), ("X-Expires-In-Ms", "2000")]
@@ -155,7 +163,7 @@
         head = writing.request("POST", "http://api/up?x", all_headers, b"", length)
         deployment.client_socket.sendall(head)
         if more:
-            assert deployment.client_socket.recv(99).startswith(b"HTTP/1.1 100")
+            assert read_head(deployment.client_socket).startswith(b"HTTP/1.1 100")
         for at in range(0, len(body), 300_000):
             deployment.client_socket.sendall(body[at : at + 300_000])
         deployment.receive()
